--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,6 @@
 VENV ?= .venv
 PYTHON := $(VENV)/bin/python
-PACKAGES := packages/cassiahaven-core packages/cassiahaven-entry packages/cassiahaven-cli packages/cassiahaven-standins
+PACKAGES := packages/cassiahaven-core packages/cassiahaven-entry packages/cassiahaven-cli packages/cassiahaven-standins platform
 
 .PHONY: setup test check model bench demo format
 
--- a/benchmarks/balancers.py
+++ b/benchmarks/balancers.py
@@ -7,7 +7,7 @@
 
 from benchmarks.simulation import EventLoop, Job, SimulatedEndpoint
 from cassiahaven_core.admission import Admission, Waiting
-from cassiahaven_core.pool import CallResult, EndpointAddress, Pool, SlotShare
+from cassiahaven_core.pool import CallResult, EndpointAddress, LoadReport, Pool, SlotShare
 from cassiahaven_core.service import Dispatch, Effect, Refuse, ServicePolicy
 from cassiahaven_core.table import CellValue
 
@@ -222,7 +222,8 @@
         result = CallResult.OK if ok else CallResult.SERVER_ERROR
         waiting = self._waiting_by_id[call_id]
         now_ms = self.loop.now_ms
-        policy.pool.report_load(endpoint.name, self._reported[endpoint.name], now_ms)
+        report = LoadReport(self._reported[endpoint.name])
+        policy.pool.report_load(endpoint.name, report, now_ms)
         effects = policy.finish(waiting, endpoint.name, result, now_ms)
         if ok:
             self._end(call_id, True)
--- a/packages/cassiahaven-core/cassiahaven_core/admission.py
+++ b/packages/cassiahaven-core/cassiahaven_core/admission.py
@@ -15,6 +15,9 @@
 
     Attributes:
         tried: Endpoints that it was sent to before.
+        priority: Rank among the calls that wait, 0 is served first.
+        target_at_ms: Until when an answer is of full use.
+        most_attempts: Endpoints that it may be sent to.
     """
 
     call_id: str
@@ -23,6 +26,9 @@
     deadline_ms: float
     arrived_ms: float
     tried: frozenset[str] = frozenset()
+    priority: int = 0
+    target_at_ms: float = float("inf")
+    most_attempts: int = 3
 
 
 @dataclass(slots=True)
@@ -87,31 +93,49 @@
         queue.move_to_end(call.call_id, last=False)
         self.waiting += 1
 
-    def ahead_of(self, partner: str) -> float:
+    def ahead_of(self, partner: str, priority: int = 0) -> float:
         """Return the calls expected to be served before a new call of ``partner``."""
         state = self.partner_by_name[partner]
-        weights = sum(
-            item.cell.weight
-            for item in self.partner_by_name.values()
-            if item.queue_by_call or item is state
-        )
+        weights = 0.0
+        waiting = 0
+        for item in self.partner_by_name.values():
+            if item.queue_by_call and next(iter(item.queue_by_call.values())).priority > priority:
+                continue
+            waiting += len(item.queue_by_call)
+            if item.queue_by_call or item is state:
+                weights += item.cell.weight
         if not weights:
             return 0.0
         share = state.cell.weight / weights
         ahead = len(state.queue_by_call) / share if share else float("inf")
-        return min(ahead, self.waiting)
+        return min(ahead, waiting)
+
+    def next(self, now_ms: float) -> Waiting | None:
+        """Return the call to serve next, without removing it.
 
-    def next(self) -> Waiting | None:
-        """Return the call to serve next, without removing it."""
+        Calls whose answer can still be of full use go first, so that a backlog does not make every
+        later call late too. Among these the priority decides, then the partners' weights.
+        """
         if not self.waiting:
             return None
-        best: PartnerState | None = None
+        best: Waiting | None = None
+        best_key = (True, 0, 0.0)
         for state in self.partner_by_name.values():
             if not state.queue_by_call or state.in_flight >= self._concurrency(state):
                 continue
-            if best is None or state.virtual_time < best.virtual_time:
-                best = state
-        return next(iter(best.queue_by_call.values())) if best is not None else None
+            call = _first_in_time(state, now_ms)
+            key = (call.target_at_ms <= now_ms, call.priority, state.virtual_time)
+            if best is None or key < best_key:
+                best, best_key = call, key
+        return best
+
+    def waiting_calls(self) -> list[Waiting]:
+        """Return all calls that wait, by priority and arrival."""
+        calls = [
+            call for state in self.partner_by_name.values() for call in state.queue_by_call.values()
+        ]
+        calls.sort(key=lambda call: (call.priority, call.arrived_ms))
+        return calls
 
     def start(self, call: Waiting, cost_ms: float) -> None:
         """Move ``call`` from the queue to the calls in flight.
@@ -162,3 +186,11 @@
             return False
         state.tokens -= 1
         return True
+
+
+def _first_in_time(state: PartnerState, now_ms: float) -> Waiting:
+    calls = iter(state.queue_by_call.values())
+    oldest = next(calls)
+    if oldest.target_at_ms > now_ms:
+        return oldest
+    return next((call for call in calls if call.target_at_ms > now_ms), oldest)
--- a/packages/cassiahaven-core/cassiahaven_core/edge.py
+++ b/packages/cassiahaven-core/cassiahaven_core/edge.py
@@ -6,7 +6,10 @@
 from enum import Enum
 from typing import TypeAlias
 
-from cassiahaven_core.pool import CallResult, EndpointAddress
+from cassiahaven_core.membership import Member
+from cassiahaven_core.pool import CallResult, EndpointAddress, LoadReport, ProbeFailed
+from cassiahaven_core.registry import Registration
+from cassiahaven_core.route import GatewayConfig
 
 
 class StoreUnavailable(Exception):
@@ -61,6 +64,92 @@
         """
 
 
+class Topic(Enum):
+    """Name what a fleet keeps in its store."""
+
+    CONFIGURATION = "configuration"
+    ENDPOINTS = "endpoints"
+    MEMBERS = "members"
+
+
+FleetItem: TypeAlias = GatewayConfig | Registration | Member
+
+
+@dataclass(frozen=True, slots=True)
+class FleetChange:
+    """Hold one entry of a topic, ``None`` where it is gone or cannot be read.
+
+    Attributes:
+        finding: Why an entry cannot be read, empty for one that can.
+    """
+
+    name: str
+    item: FleetItem | None
+    finding: str = ""
+
+
+@dataclass(frozen=True, slots=True)
+class FleetChanges:
+    """Hold what changed in a topic up to ``revision`` of the store.
+
+    Attributes:
+        is_whole: Whether these are all entries of the topic.
+    """
+
+    revision: int
+    changes: list[FleetChange]
+    is_whole: bool
+
+
+class HistoryGone(Exception):
+    """Report that the store no longer knows what changed since a revision."""
+
+
+class FleetStore(ABC):
+    """Reach the store that holds a fleet's configuration, endpoints and members."""
+
+    @abstractmethod
+    def read(self, topic: Topic) -> FleetChanges:
+        """Return all entries of a topic.
+
+        Raises:
+            StoreUnavailable: The store gave no answer.
+        """
+
+    @abstractmethod
+    def watch(self, topic: Topic, *, revision: int, wait_ms: int) -> FleetChanges:
+        """Wait for changes after ``revision``.
+
+        Raises:
+            StoreUnavailable: The store gave no answer.
+            HistoryGone: The whole topic must be read again.
+        """
+
+    @abstractmethod
+    def register(self, member: Member) -> None:
+        """Put a member in place of what stands under its name.
+
+        Raises:
+            StoreUnavailable: The store gave no answer.
+        """
+
+    @abstractmethod
+    def unregister(self, member: Member) -> None:
+        """Remove a member that leaves.
+
+        Raises:
+            StoreUnavailable: The store gave no answer.
+        """
+
+    @abstractmethod
+    def check(self) -> None:
+        """Ask the store for as little as possible.
+
+        Raises:
+            StoreUnavailable: The store gave no answer.
+        """
+
+
 class VmRole(Enum):
     """Tell what a VM runs."""
 
@@ -108,23 +197,49 @@
 
 @dataclass(frozen=True, slots=True)
 class UpstreamSignal:
-    """Hold what an upstream says of itself.
+    """Hold what an answer's head says, beside the answer itself.
+
+    Attributes:
+        load: Load of the endpoint, ``None`` if it does not say.
+        draining: Whether the endpoint asks for no new work.
+        not_run: Whether it states that it did not run the call.
+        other_incarnation: Whether another endpoint answers at this address.
+        is_genuine: Whether this is the endpoint's answer to this very call.
+    """
+
+    load: LoadReport | None = None
+    draining: bool = False
+    not_run: bool = False
+    other_incarnation: bool = False
+    is_genuine: bool = True
+
+
+class UpstreamDialect(ABC):
+    """Speak with upstreams: what a call carries beside itself, and what an answer says.
 
     Attributes:
-        in_flight: Calls that it runs, ``None`` if it does not say.
-        draining: Whether it asks for no new work.
+        accepts_unframed: Whether an answer without a length may end with its connection.
     """
 
-    in_flight: int | None
-    draining: bool
+    accepts_unframed: bool = False
 
+    @abstractmethod
+    def request_headers(
+        self, request: "CallRequest", call_id: str, partner: str, endpoint: str, left_ms: float
+    ) -> tuple[tuple[str, str], ...]:
+        """Return the headers that go to an upstream with a call."""
 
-class UpstreamSignals(ABC):
-    """Read what upstreams say of their health and load."""
+    @abstractmethod
+    def read_head(
+        self, status: int, headers: dict[str, str], request_id: str | None
+    ) -> UpstreamSignal:
+        """Return what the head of an answer says; header names are in lower case."""
 
     @abstractmethod
-    def from_headers(self, headers: dict[str, str]) -> UpstreamSignal:
-        """Return what the headers of an answer say; names are in lower case."""
+    def read_health(
+        self, status: int, headers: dict[str, str], endpoint: str
+    ) -> LoadReport | ProbeFailed:
+        """Return what an answer of the health path says."""
 
 
 class UpstreamProbe(ABC):
@@ -144,6 +259,7 @@
     headers: tuple[tuple[str, str], ...]
     body: bytes
     idempotent: bool
+    request_id: str | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -151,6 +267,7 @@
     """Hold an answer's head and its body, which raises if the transfer breaks.
 
     Attributes:
+        signal: What the head says beside the answer.
         body: Parts of the body, empty once read to its end.
         close: Gives the connection up, wherever the body stands.
     """
@@ -159,6 +276,7 @@
     headers: tuple[tuple[str, str], ...]
     body: Iterator[bytes]
     close: Callable[[], None]
+    signal: UpstreamSignal = UpstreamSignal()
 
 
 @dataclass(frozen=True, slots=True)
@@ -167,6 +285,7 @@
 
     result: CallResult
     detail: str
+    signal: UpstreamSignal = UpstreamSignal()
 
 
 SendResult: TypeAlias = UpstreamAnswer | SendFailed
@@ -185,6 +304,16 @@
     ) -> SendResult:
         """Send ``request`` once, without retries, and return the head of its answer."""
 
+    def probe(
+        self, address: EndpointAddress, path: str, timeout_ms: float
+    ) -> LoadReport | ProbeFailed:
+        """Return an endpoint's load by its health path."""
+        return ProbeFailed("this transport does not probe")
+
+    def is_down(self, address: EndpointAddress) -> bool:
+        """Tell whether nothing listens at the address; asked after a connection was lost."""
+        return False
+
 
 @dataclass(frozen=True, slots=True)
 class CallRequest:
@@ -195,6 +324,8 @@
         token: Bearer token, ``None`` without one.
         key: Idempotency key, ``None`` without one.
         timeout_ms: Time that the caller waits, ``None`` if it does not say.
+        host: Host that the caller addressed; together with the path it selects a route.
+        request_id: The caller's own name for the call, ``None`` without one.
     """
 
     service: str
@@ -205,6 +336,8 @@
     token: str | None
     key: str | None
     timeout_ms: float | None
+    host: str = ""
+    request_id: str | None = None
 
 
 @dataclass(frozen=True, slots=True)
--- /dev/null
+++ b/packages/cassiahaven-core/cassiahaven_core/fleet_state.py
@@ -0,0 +1,114 @@
+"""The fleet's state as one entry has it, and what it passes on to others."""
+
+from collections import deque
+from collections.abc import Callable
+from dataclasses import astuple
+from typing import Any, TypeAlias
+
+from cassiahaven_core.membership import Member
+from cassiahaven_core.registry import Registration
+from cassiahaven_core.route import CallerLimits, GatewayConfig, Route, ServiceShare, ServiceSpec
+
+KEPT_CHANGES = 512  # two changes for each endpoint of the largest service planned so far
+
+Item: TypeAlias = Registration | Member
+
+
+class TopicState:
+    """Hold the entries of one topic at a revision of the store, and its newest changes.
+
+    A revision never goes back, so news that took a longer way changes nothing.
+    """
+
+    __slots__ = ("item_by_name", "revision", "_changes", "_complete_since")
+
+    def __init__(self) -> None:
+        self.item_by_name: dict[str, Item] = {}
+        self.revision = 0
+        self._changes: deque[tuple[int, str]] = deque(maxlen=KEPT_CHANGES)
+        self._complete_since = 0
+
+    def replace(self, items: dict[str, Item], revision: int) -> bool:
+        """Take in all entries as of ``revision`` and tell whether that is news."""
+        if revision < self.revision:
+            return False
+        changed = {
+            name
+            for name in items.keys() | self.item_by_name.keys()
+            if items.get(name) != self.item_by_name.get(name)
+        }
+        if self.revision == 0:
+            self._complete_since = revision
+        self.item_by_name = items
+        self._note(changed, revision)
+        return bool(changed)
+
+    def change(self, changes: dict[str, Item | None], revision: int) -> bool:
+        """Take in the entries that changed up to ``revision`` and tell whether that is news."""
+        if revision <= self.revision:
+            return False
+        for name, item in changes.items():
+            if item is None:
+                self.item_by_name.pop(name, None)
+            else:
+                self.item_by_name[name] = item
+        self._note(set(changes), revision)
+        return bool(changes)
+
+    def changed_since(self, revision: int) -> dict[str, Item | None] | None:
+        """Return what changed after ``revision``, ``None`` if that is no longer known."""
+        if revision < self._complete_since:
+            return None
+        names = {name for at, name in self._changes if at > revision}
+        return {name: self.item_by_name.get(name) for name in names}
+
+    def _note(self, names: set[str], revision: int) -> None:
+        for name in names:
+            if len(self._changes) == KEPT_CHANGES:
+                self._complete_since = self._changes[0][0]
+            self._changes.append((revision, name))
+        self.revision = revision
+
+
+def item_to_plain(item: Item) -> list[Any]:
+    """Return a registration or member as a list."""
+    return list(astuple(item))
+
+
+def plain_to_item(kind: Callable[..., Item], plain: list[Any]) -> Item:
+    """Return the item of class ``kind`` that ``plain`` stands for.
+
+    Raises:
+        TypeError: The list has another length.
+    """
+    return kind(*plain)
+
+
+def config_to_plain(config: GatewayConfig) -> list[Any]:
+    """Return a configuration as nested lists."""
+    return [
+        config.version,
+        [list(astuple(route)) for route in config.routes],
+        [list(astuple(spec)) for spec in config.service_by_name.values()],
+        list(astuple(config.limits)),
+    ]
+
+
+def config_from_plain(plain: list[Any]) -> GatewayConfig:
+    """Return the configuration that ``plain`` stands for.
+
+    Raises:
+        TypeError, ValueError: The lists have another form.
+    """
+    version, routes, specs, limits = plain
+    return GatewayConfig(
+        version,
+        tuple(_route_from_plain(route) for route in routes),
+        {spec[0]: ServiceSpec(*spec) for spec in specs},
+        CallerLimits(*limits),
+    )
+
+
+def _route_from_plain(plain: list[Any]) -> Route:
+    name, host, path_prefix, shares, *rest = plain
+    return Route(name, host, path_prefix, tuple(ServiceShare(*share) for share in shares), *rest)
--- a/packages/cassiahaven-core/cassiahaven_core/lifecycle.py
+++ b/packages/cassiahaven-core/cassiahaven_core/lifecycle.py
@@ -4,7 +4,7 @@
 from functools import cache
 from importlib.resources import files
 
-from sismic.io import import_from_yaml
+import yaml
 
 
 class EndpointStatus(Enum):
@@ -48,9 +48,12 @@
 @cache
 def _target_by_transition() -> dict[tuple[EndpointStatus, EndpointEvent], EndpointStatus]:
     # One shared index serves all endpoints: an interpreter for each would take more memory than
-    # the rest of an endpoint's state.
-    chart = import_from_yaml(chart_text())
+    # the rest of an endpoint's state, and loading one takes longer than the rest of the start.
+    chart = yaml.safe_load(chart_text())["statechart"]
     return {
-        (EndpointStatus(item.source), EndpointEvent(item.event)): EndpointStatus(item.target)
-        for item in chart.transitions
+        (EndpointStatus(state["name"]), EndpointEvent(item["event"])): EndpointStatus(
+            item["target"]
+        )
+        for state in chart["root state"]["states"]
+        for item in state.get("transitions", ())
     }
--- a/packages/cassiahaven-core/cassiahaven_core/outcome.py
+++ b/packages/cassiahaven-core/cassiahaven_core/outcome.py
@@ -47,6 +47,7 @@
 
 STATUS_BY_REFUSAL: dict[RefusalReason, int] = {
     RefusalReason.UNKNOWN_SERVICE: 404,
+    RefusalReason.NO_ROUTE: 404,
     RefusalReason.UNAUTHENTICATED: 401,
     RefusalReason.MALFORMED_REQUEST: 400,
     RefusalReason.BODY_TOO_LARGE: 413,
--- a/packages/cassiahaven-core/cassiahaven_core/peer_message.py
+++ b/packages/cassiahaven-core/cassiahaven_core/peer_message.py
@@ -110,6 +110,58 @@
     explanations: list[dict[str, Any]]
 
 
+@dataclass(frozen=True, slots=True)
+class MemberReport:
+    """Tell a watcher that the sender lives; sent by each of its subscribers."""
+
+    name: str
+    is_draining: bool
+
+
+@dataclass(frozen=True, slots=True)
+class WatcherReport:
+    """Tell subscribers who lives and which state of the fleet the sender has.
+
+    Attributes:
+        live: Entries that report to the sender, itself included.
+        draining: Those of them that are stopping.
+        store_age_ms: Time since the store's last answer.
+        version_by_topic: Version of each topic that the sender has.
+    """
+
+    live: list[str]
+    draining: list[str]
+    store_age_ms: float
+    version_by_topic: dict[str, int]
+
+
+@dataclass(frozen=True, slots=True)
+class StateRequest:
+    """Ask a watcher for a topic.
+
+    Attributes:
+        topic: Name of the topic.
+        revision: What the sender has; changes since then are enough. 0 asks for all.
+    """
+
+    topic: str
+    revision: int
+
+
+@dataclass(frozen=True, slots=True)
+class StateNews:
+    """Carry the entries of a topic that changed, as plain lists; ``None`` for one that is gone.
+
+    Attributes:
+        is_whole: Whether these are all entries of the topic.
+    """
+
+    topic: str
+    revision: int
+    is_whole: bool
+    plain_by_name: dict[str, Any]
+
+
 PeerMessage: TypeAlias = (
     Introduction
     | Heartbeat
@@ -121,6 +173,10 @@
     | KeyQuestion
     | KeyReply
     | ExplanationHandover
+    | MemberReport
+    | WatcherReport
+    | StateRequest
+    | StateNews
 )
 _CLASS_BY_TAG: dict[str, type] = {
     item.__name__: item
@@ -135,6 +191,10 @@
         KeyQuestion,
         KeyReply,
         ExplanationHandover,
+        MemberReport,
+        WatcherReport,
+        StateRequest,
+        StateNews,
     )
 }
 
--- a/packages/cassiahaven-core/cassiahaven_core/pool.py
+++ b/packages/cassiahaven-core/cassiahaven_core/pool.py
@@ -1,5 +1,6 @@
 """The endpoints of one service, as one entry sees them, and the choice among them."""
 
+import math
 from dataclasses import dataclass, field
 from enum import Enum
 from random import Random
@@ -7,6 +8,7 @@
 
 from cassiahaven_core.lifecycle import SERVING, EndpointEvent, EndpointStatus, next_status
 
+MS_PER_S = 1000.0
 SLOWNESS_SMOOTHING = 0.2
 PARTNER_TIME_SMOOTHING = 0.02
 INITIAL_PARTNER_TIME_MS = 5.0
@@ -19,12 +21,20 @@
 WARM_UP_MS = 2000.0
 COLD_PENALTY = 2.0
 OCCUPANCY_COST = 0.2
+NEARLY_FULL_SHARE = 0.8  # endpoints slow down when more of their slots than this are taken
+NEARLY_FULL_COST = 1.4
+FULL_COST = 4.0  # behind a full endpoint a call waits for about as long as it takes itself, twice
+HALF_SLOT = 0.5  # a faded report of others' calls is a fraction
 TIE_BREAK = 0.02
 SHORTEST_USUAL_MS = 0.1
 SMALLEST_SLOWNESS = 0.01
 FAILURE_PENALTY = 4.0
 MOST_PENALTIES = 8
 FAR_SLOT_SHARE = 0.5
+REPORT_MEMORY_MS = 150.0  # neighbours of a VM change about this often
+FRESH_REPORT_MS = 3.0  # a report this young is as good as a new one
+SLOWDOWN_SMOOTHING = 0.02
+FAILED_PROBE_COST = 20.0  # more than the slowest neighbour costs
 
 
 class CallResult(Enum):
@@ -33,6 +43,7 @@
     OK = "ok"
     SERVER_ERROR = "server-error"
     REFUSED = "refused"
+    REPLACED = "replaced"
     CONNECT_FAILED = "connect-failed"
     CONNECTION_LOST = "connection-lost"
     TIMEOUT = "timeout"
@@ -69,6 +80,28 @@
     distance_ms: float = 0.0
 
 
+@dataclass(frozen=True, slots=True)
+class LoadReport:
+    """Hold what an endpoint says of its load.
+
+    Attributes:
+        running: Calls that it runs, of all entries.
+        waiting: Calls in its own queue.
+        slowdown: How much longer work takes on its VM at this moment, 1 as usual.
+    """
+
+    running: int
+    waiting: int = 0
+    slowdown: float = 1.0
+
+
+@dataclass(frozen=True, slots=True)
+class ProbeFailed:
+    """Tell why an endpoint is not well, or why nobody knows."""
+
+    detail: str
+
+
 @dataclass(frozen=True, slots=True)
 class SlotShare:
     """Divide each endpoint's slots among the entries that serve the same callers.
@@ -100,13 +133,20 @@
 WHOLE_SHARE = SlotShare()
 
 
-@dataclass(frozen=True, slots=True)
+@dataclass(slots=True)
 class Started:
-    """Hold when a call was sent and how long its partner's calls usually take."""
+    """Hold when a call was sent and how long its partner's calls usually take.
+
+    Attributes:
+        slowdown: What was known of the endpoint's VM then, 1 as usual.
+        is_sent: Whether the endpoint can know of the call.
+    """
 
     partner: str
     at_ms: float
     usual_ms: float
+    slowdown: float = 1.0
+    is_sent: bool = False
 
 
 @dataclass(slots=True)
@@ -116,6 +156,9 @@
     Attributes:
         slowness: Smoothed ratio of the calls' times to those usual for their partners.
         limit: Calls that this entry keeps at the endpoint.
+        others_in_flight: Calls of other entries there, by its last report.
+        probe_failed_ms: When a probe was last answered badly or not at all.
+        probe_tokens: Probes that may be sent now.
         idle_cost: What a call costs here while no other is in flight; the cheapest is chosen.
     """
 
@@ -128,8 +171,12 @@
     consecutive_failures: int = 0
     ejections: int = 0
     ejected_until_ms: float = 0.0
-    reported_in_flight: int = 0
+    reported: LoadReport | None = None
     reported_at_ms: float = float("-inf")
+    others_in_flight: int = 0
+    probe_failed_ms: float = float("-inf")
+    probe_tokens: float = 1.0
+    probe_refilled_ms: float = 0.0
     limit: int = 0
     idle_cost: float = 1.0
 
@@ -159,6 +206,7 @@
         "_rng",
         "_ejected",
         "_serving",
+        "_usual_slowdown",
     )
 
     def __init__(self, *, share: SlotShare = WHOLE_SHARE, rng: Random | None = None) -> None:
@@ -168,6 +216,7 @@
         self._rng = rng or Random()
         self._ejected: set[str] = set()
         self._serving: list[Endpoint] = []
+        self._usual_slowdown = 1.0
 
     def set_endpoints(self, addresses: list[EndpointAddress], now_ms: float) -> None:
         """Take in the listed endpoints; a new incarnation starts without its past."""
@@ -257,7 +306,9 @@
 
     def start(self, endpoint: Endpoint, call_id: str, partner: str, now_ms: float) -> None:
         """Count ``call_id`` as in flight at ``endpoint``."""
-        endpoint.started_by_call[call_id] = Started(partner, now_ms, self.usual_ms(partner))
+        slowdown = self._expected_slowdown(endpoint, now_ms)
+        started = Started(partner, now_ms, self.usual_ms(partner), slowdown)
+        endpoint.started_by_call[call_id] = started
 
     def finish(self, name: str, call_id: str, result: CallResult, now_ms: float) -> None:
         """Learn from the end of a call."""
@@ -275,23 +326,95 @@
             self.handle(name, EndpointEvent.FAILING, "trial cancelled", now_ms)
         endpoint.idle_cost = self._idle_cost(endpoint)
 
-    def report_load(self, name: str, in_flight: int, now_ms: float) -> None:
-        """Take in an endpoint's own report, which operators see but no choice relies on."""
+    def report_load(self, name: str, report: LoadReport, now_ms: float) -> None:
+        """Take in an endpoint's own report."""
+        endpoint = self.endpoint_by_id.get(name)
+        if endpoint is None:
+            return
+        endpoint.reported = report
+        endpoint.reported_at_ms = now_ms
+        own = sum(started.is_sent for started in endpoint.started_by_call.values())
+        endpoint.others_in_flight = max(0, report.running + report.waiting - own)
+        self._usual_slowdown += SLOWDOWN_SMOOTHING * (report.slowdown - self._usual_slowdown)
+
+    def mark_sent(self, name: str, call_id: str) -> None:
+        """Take in that a call is on its way to the endpoint that it is counted at."""
+        endpoint = self.endpoint_by_id.get(name)
+        started = endpoint.started_by_call.get(call_id) if endpoint is not None else None
+        if started is not None:
+            started.is_sent = True
+
+    def fail_probe(self, name: str, now_ms: float) -> None:
+        """Take in that an endpoint answered a probe badly or not at all."""
         endpoint = self.endpoint_by_id.get(name)
         if endpoint is not None:
-            endpoint.reported_in_flight = in_flight
-            endpoint.reported_at_ms = now_ms
+            endpoint.probe_failed_ms = now_ms
+
+    def take_probe(self, name: str, *, rate_per_s: float, now_ms: float) -> bool:
+        """Tell whether a probe of the endpoint is worth its cost now, and count it."""
+        endpoint = self.endpoint_by_id.get(name)
+        if endpoint is None or now_ms - endpoint.reported_at_ms < FRESH_REPORT_MS:
+            return False
+        earned = (now_ms - endpoint.probe_refilled_ms) / MS_PER_S * rate_per_s
+        endpoint.probe_refilled_ms = now_ms
+        endpoint.probe_tokens = min(max(1.0, rate_per_s), endpoint.probe_tokens + earned)
+        if endpoint.probe_tokens < 1:
+            return False
+        endpoint.probe_tokens -= 1
+        return True
+
+    def move(
+        self, name: str, call_id: str, now_ms: float, *, excluded: frozenset[str]
+    ) -> Endpoint | None:
+        """Move a call that was not sent yet to a better endpoint, if there is one.
+
+        Args:
+            name: The endpoint that the call is counted at.
+            call_id: The call.
+            now_ms: Current time, milliseconds.
+            excluded: Endpoints that the call has already been sent to.
+        """
+        endpoint = self.endpoint_by_id.get(name)
+        started = endpoint.started_by_call.pop(call_id, None) if endpoint is not None else None
+        if started is None:
+            return None
+        best = self.choose(now_ms, idempotent=False, excluded=excluded | {name})
+        if best is not None and self._cost(best, now_ms) < self._cost(endpoint, now_ms):
+            self.start(best, call_id, started.partner, now_ms)
+            return best
+        self.start(endpoint, call_id, started.partner, now_ms)
+        return None
 
     def _cost(self, endpoint: Endpoint, now_ms: float) -> float:
         started_by_call = endpoint.started_by_call
+        slots = endpoint.address.slots
+        cost = endpoint.idle_cost * self._expected_slowdown(endpoint, now_ms)
+        if now_ms - endpoint.probe_failed_ms < REPORT_MEMORY_MS:
+            cost *= FAILED_PROBE_COST
+        taken = len(started_by_call) + self._others_in_flight(endpoint, now_ms)
+        if taken + 1 > slots + HALF_SLOT:
+            cost *= FULL_COST * (1 + taken - slots)
+        elif taken + 1 > slots * NEARLY_FULL_SHARE:
+            cost *= NEARLY_FULL_COST
         if not started_by_call:
-            return endpoint.idle_cost
+            return cost
         oldest = next(iter(started_by_call.values()))
-        cost = endpoint.idle_cost
-        ratio = (now_ms - oldest.at_ms) / oldest.usual_ms
+        ratio = (now_ms - oldest.at_ms) / (oldest.usual_ms * oldest.slowdown)
         if ratio > SLOW_CALL_RATIO and ratio > endpoint.slowness:
             cost *= ratio / endpoint.slowness
-        return cost * (1 + OCCUPANCY_COST * len(started_by_call) / endpoint.address.slots)
+        return cost * (1 + OCCUPANCY_COST * taken / slots)
+
+    def _expected_slowdown(self, endpoint: Endpoint, now_ms: float) -> float:
+        """Return how slow an endpoint's VM is by its last report, which fades as it ages."""
+        if endpoint.reported is None:
+            return self._usual_slowdown
+        weight = math.exp(-(now_ms - endpoint.reported_at_ms) / REPORT_MEMORY_MS)
+        reported = endpoint.reported.slowdown
+        return self._usual_slowdown + weight * (reported - self._usual_slowdown)
+
+    def _others_in_flight(self, endpoint: Endpoint, now_ms: float) -> float:
+        weight = math.exp(-(now_ms - endpoint.reported_at_ms) / REPORT_MEMORY_MS)
+        return endpoint.others_in_flight * weight
 
     def _idle_cost(self, endpoint: Endpoint) -> float:
         cost = endpoint.slowness
@@ -301,10 +424,11 @@
             # A fast failure frees its slot at once, so an idle look must not draw more work.
             cost *= FAILURE_PENALTY ** min(endpoint.consecutive_failures, MOST_PENALTIES)
         distance = 2 * endpoint.address.distance_ms / INITIAL_PARTNER_TIME_MS
-        return cost * (1 + TIE_BREAK * self._rng.random()) + distance
+        return cost * (1 + TIE_BREAK * self._rng.random() + distance)
 
     def _learn_success(self, endpoint: Endpoint, started: Started, now_ms: float) -> None:
-        took_ms = now_ms - started.at_ms
+        # What a neighbour of the VM cost says nothing of the endpoint itself.
+        took_ms = (now_ms - started.at_ms) / started.slowdown
         usual_ms = self.usual_ms(started.partner)
         self.usual_ms_by_partner[started.partner] = max(
             SHORTEST_USUAL_MS, usual_ms + PARTNER_TIME_SMOOTHING * (took_ms - usual_ms)
--- a/packages/cassiahaven-core/cassiahaven_core/reason.py
+++ b/packages/cassiahaven-core/cassiahaven_core/reason.py
@@ -7,6 +7,8 @@
     """Tell why a call was not run."""
 
     UNKNOWN_SERVICE = "unknown-service"
+    NO_ROUTE = "no-route"
+    NOT_CONFIGURED = "not-configured"
     UNAUTHENTICATED = "unauthenticated"
     MALFORMED_REQUEST = "malformed-request"
     BODY_TOO_LARGE = "body-too-large"
--- a/packages/cassiahaven-core/cassiahaven_core/retry.py
+++ b/packages/cassiahaven-core/cassiahaven_core/retry.py
@@ -1,29 +1,70 @@
 """The retry budget of one service."""
 
-RETRY_SHARE = 0.1
-LARGEST_BALANCE = 10.0
+from collections import deque
+from dataclasses import dataclass
+
+BUCKET_MS = 250.0  # a fortieth of the usual window: coarse enough to stay cheap
+
+
+@dataclass(frozen=True, slots=True)
+class RetryTerms:
+    """Bound the retries of a service within any window.
+
+    Attributes:
+        share: Retries allowed for each call of the window.
+        slack: Retries allowed beside them.
+        window_ms: Length of the window, milliseconds.
+    """
+
+    share: float = 0.1
+    slack: float = 10.0
+    window_ms: float = 10_000.0
 
 
 class RetryBudget:
     """Allow retries up to a share of the calls, so that an outage is not amplified.
 
-    Args:
-        share: Retries earned by each call.
+    A bound for a whole fleet is kept without messages: each entry counts its own calls and takes
+    its part of the slack, so whatever entries come and go, the sums stay below the bound.
     """
 
-    __slots__ = ("balance", "_share")
+    __slots__ = ("terms", "_calls", "_retries", "_call_count", "_retry_count")
 
-    def __init__(self, *, share: float = RETRY_SHARE) -> None:
-        self.balance = LARGEST_BALANCE
-        self._share = share
+    def __init__(self, terms: RetryTerms | None = None) -> None:
+        self.terms = terms or RetryTerms()
+        self._calls: deque[list[float]] = deque()
+        self._retries: deque[list[float]] = deque()
+        self._call_count = 0
+        self._retry_count = 0
 
-    def deposit(self) -> None:
-        """Earn a share of a retry for a first attempt."""
-        self.balance = min(LARGEST_BALANCE, self.balance + self._share)
+    def deposit(self, now_ms: float) -> None:
+        """Count a first attempt."""
+        self._expire(now_ms)
+        _count(self._calls, now_ms)
+        self._call_count += 1
 
-    def withdraw(self) -> bool:
+    def withdraw(self, now_ms: float) -> bool:
         """Spend one retry if the budget holds one."""
-        if self.balance < 1:
+        self._expire(now_ms)
+        allowed = self.terms.share * self._call_count + self.terms.slack
+        if self._retry_count + 1 > allowed:
             return False
-        self.balance -= 1
+        _count(self._retries, now_ms)
+        self._retry_count += 1
         return True
+
+    def _expire(self, now_ms: float) -> None:
+        # Calls leave a bucket early and retries a bucket late, so rounding never adds a retry.
+        start_ms = now_ms - self.terms.window_ms
+        while self._calls and self._calls[0][0] < start_ms:
+            self._call_count -= int(self._calls.popleft()[1])
+        while self._retries and self._retries[0][0] + BUCKET_MS < start_ms:
+            self._retry_count -= int(self._retries.popleft()[1])
+
+
+def _count(buckets: deque[list[float]], now_ms: float) -> None:
+    start_ms = now_ms - now_ms % BUCKET_MS
+    if buckets and buckets[-1][0] == start_ms:
+        buckets[-1][1] += 1
+    else:
+        buckets.append([start_ms, 1])
--- a/packages/cassiahaven-core/tests/test_service.py
+++ b/packages/cassiahaven-core/tests/test_service.py
@@ -6,7 +6,7 @@
 from cassiahaven_core.lifecycle import EndpointEvent, EndpointStatus
 from cassiahaven_core.pool import CallResult, EndpointAddress, SlotShare
 from cassiahaven_core.reason import RefusalReason
-from cassiahaven_core.retry import LARGEST_BALANCE
+from cassiahaven_core.retry import RetryTerms
 from cassiahaven_core.service import Dispatch, Refuse
 from cassiahaven_core.table import CellValue
 
@@ -155,7 +155,7 @@
             [effect] = retry[1]
             tried |= {effect.address.endpoint}
             policy.finish(call, effect.address.endpoint, CallResult.CONNECT_FAILED, now_ms)
-    assert retries <= 100 + LARGEST_BALANCE
+    assert retries <= 100 + RetryTerms().slack
 
 
 def test_non_idempotent_call_is_repeated_only_if_it_was_not_run(make_policy, make_call):
--- a/packages/cassiahaven-entry/cassiahaven_entry/attempts.py
+++ b/packages/cassiahaven-entry/cassiahaven_entry/attempts.py
@@ -9,17 +9,17 @@
     SendResult,
     TransferBroken,
     UpstreamAnswer,
+    UpstreamDialect,
     UpstreamRequest,
-    UpstreamSignals,
+    UpstreamSignal,
     UpstreamTransport,
 )
 from cassiahaven_core.outcome import NotRun, Outcome, Ran, Unknown
 from cassiahaven_core.peer_message import CrashNotice, DrainNotice
-from cassiahaven_core.pool import CallResult, EndpointAddress
+from cassiahaven_core.pool import CallResult, EndpointAddress, LoadReport, ProbeFailed
 from cassiahaven_core.quarantine import Quarantine
 from cassiahaven_core.reason import RefusalReason, UnknownReason
-from cassiahaven_core.service import Dispatch, Effect, Refuse
-from cassiahaven_entry import call_header
+from cassiahaven_core.service import Effect, Refuse
 from cassiahaven_entry.call import AnswerStream, Call, Finished
 from cassiahaven_entry.clock import now_ms
 from cassiahaven_entry.metrics import Metrics
@@ -27,9 +27,12 @@
 
 SERVER_ERROR_STATUSES = frozenset({500, 502, 503, 504})
 NOTABLE_WAIT_MS = 5.0
+MOST_PROBES = 4  # with a quarter of the endpoints slow, four slow ones in a row are rare
+PROBE_TIMEOUT_MS = 50.0  # many round trips between zones; whoever takes longer is no good choice
 REFUSAL_BY_RESULT = {
     CallResult.CONNECT_FAILED: RefusalReason.CONNECT_FAILED,
     CallResult.REFUSED: RefusalReason.UPSTREAM_REFUSED,
+    CallResult.REPLACED: RefusalReason.UPSTREAM_REFUSED,
     CallResult.CANCELLED: RefusalReason.DEADLINE_EXCEEDED,
 }
 UNKNOWN_BY_RESULT = {
@@ -65,7 +68,7 @@
 
     Args:
         transport: Way to the upstreams.
-        signals: Reader of what upstreams say of themselves.
+        dialect: Way of speaking with upstreams.
         quarantine: Memory of requests that crash upstreams.
         on_drain: Called when an upstream says that it is leaving.
         on_crash: Called with a crash that is news.
@@ -74,7 +77,7 @@
     def __init__(
         self,
         transport: UpstreamTransport,
-        signals: UpstreamSignals,
+        dialect: UpstreamDialect,
         quarantine: Quarantine,
         *,
         metrics: Metrics,
@@ -82,7 +85,7 @@
         on_crash: Callable[[CrashNotice], None],
     ) -> None:
         self._transport = transport
-        self._signals = signals
+        self._dialect = dialect
         self._quarantine = quarantine
         self._metrics = metrics
         self._on_drain = on_drain
@@ -98,8 +101,11 @@
         while True:
             if isinstance(effect, Refuse):
                 return progress.finished(effect.reason)
-            tried.add(effect.address.endpoint)
-            ended = self._attempt(call, task, effect)
+            if effect.waited_ms >= NOTABLE_WAIT_MS:
+                call.note("waited", f"{effect.waited_ms:.1f} ms for a free slot")
+            address = self._place(call, task, effect.address)
+            tried.add(address.endpoint)
+            ended = self._attempt(call, task, address)
             result = self._learn(progress, ended)
             if result is CallResult.OK:
                 return ended
@@ -118,11 +124,29 @@
             progress.unknown = UNKNOWN_BY_RESULT.get(ended.result, UnknownReason.INTERNAL)
         return ended.result
 
-    def _attempt(self, call: Call, task: ServiceTask, dispatch: Dispatch) -> Finished | SendFailed:
-        address = dispatch.address
-        if dispatch.waited_ms >= NOTABLE_WAIT_MS:
-            call.note("waited", f"{dispatch.waited_ms:.1f} ms for a free slot")
+    def _place(self, call: Call, task: ServiceTask, address: EndpointAddress) -> EndpointAddress:
+        """Probe the endpoint that the call is to go to, and others if that one is slow now."""
+        for _ in range(MOST_PROBES):
+            if not task.policy.take_probe(address.endpoint, now_ms()):
+                break
+            self._metrics.probes.labels(call.service).inc()
+            try:
+                report = self._transport.probe(address, task.health_path, PROBE_TIMEOUT_MS)
+            except BaseException:
+                task.finish(call.waiting, address.endpoint, CallResult.CANCELLED)
+                raise
+            better = task.measured(call.waiting, address.endpoint, report)
+            if better is None:
+                break
+            call.note("passed over", f"{address.endpoint} {_slowness_text(report)}")
+            address = better.address
+        return address
+
+    def _attempt(
+        self, call: Call, task: ServiceTask, address: EndpointAddress
+    ) -> Finished | SendFailed:
         call.note("sent", address.endpoint)
+        task.policy.pool.mark_sent(address.endpoint, call.call_id)
         ended: Finished | SendFailed | None = None
         try:
             ended = self._receive(call, task, address, self._send(call, address))
@@ -140,27 +164,25 @@
         left_ms = call.waiting.deadline_ms - now_ms()
         if left_ms <= 0:
             return SendFailed(CallResult.CANCELLED, "deadline exceeded before sending")
-        headers = (
-            *call.request.headers,
-            (call_header.CALL_ID, call.call_id),
-            (call_header.CALL_PARTNER, call.partner),
-            (call_header.REQUEST_TIMEOUT_MS, str(int(left_ms))),
+        added = self._dialect.request_headers(
+            call.request, call.call_id, call.partner, address.endpoint, left_ms
         )
         request = UpstreamRequest(
             call.request.method,
             call.request.target,
-            headers,
+            (*call.request.headers, *added),
             call.request.body,
             call.waiting.idempotent,
+            call.request.request_id,
         )
         return self._transport.send(address, request, left_ms)
 
     def _receive(
         self, call: Call, task: ServiceTask, address: EndpointAddress, sent: SendResult
     ) -> Finished | SendFailed:
+        self._take_in(task, address, sent.signal)
         if isinstance(sent, SendFailed):
             return sent
-        self._read_signals(task, address, sent)
         parts: list[bytes] = []
         size = 0
         try:
@@ -190,13 +212,9 @@
         head = Answer(sent.status, sent.headers, b"")
         return Finished(outcome, head, AnswerStream(parts, sent, end))
 
-    def _read_signals(
-        self, task: ServiceTask, address: EndpointAddress, sent: UpstreamAnswer
-    ) -> None:
-        headers = {name.lower(): value for name, value in sent.headers}
-        signal = self._signals.from_headers(headers)
-        if signal.in_flight is not None:
-            task.policy.pool.report_load(address.endpoint, signal.in_flight, now_ms())
+    def _take_in(self, task: ServiceTask, address: EndpointAddress, signal: UpstreamSignal) -> None:
+        if signal.load is not None:
+            task.policy.pool.report_load(address.endpoint, signal.load, now_ms())
         if signal.draining:
             self._on_drain(
                 DrainNotice(
@@ -212,21 +230,28 @@
             return None
         retry = task.retry(call.waiting, result, tried)
         if retry is None:
-            self._metrics.retries_denied.labels(call.service.name).inc()
+            self._metrics.retries_denied.labels(call.service).inc()
             return None
         reason, effect = retry
-        self._metrics.retries.labels(call.service.name, reason.value).inc()
+        self._metrics.retries.labels(call.service, reason.value).inc()
         call.note("retried", reason.value)
         return effect
 
     def _note_crash(self, call: Call, address: EndpointAddress, failed: SendFailed) -> None:
-        if failed.result is not CallResult.CONNECTION_LOST:
+        # A lost connection alone is no crash: answers are lost on the way too.
+        if failed.result is not CallResult.CONNECTION_LOST or not self._transport.is_down(address):
             return
         incarnation = f"{address.endpoint}/{address.incarnation}"
         if self._quarantine.record(call.fingerprint, incarnation, now_ms()):
             self._on_crash(CrashNotice(call.fingerprint, incarnation))
 
 
+def _slowness_text(report: LoadReport | ProbeFailed) -> str:
+    if isinstance(report, ProbeFailed):
+        return f"not well: {report.detail}"
+    return f"slowed {report.slowdown:.1f} times"
+
+
 def _is_server_error(finished: Finished) -> bool:
     return finished.answer is not None and finished.answer.status in SERVER_ERROR_STATUSES
 
--- a/packages/cassiahaven-entry/cassiahaven_entry/call.py
+++ b/packages/cassiahaven-entry/cassiahaven_entry/call.py
@@ -20,27 +20,28 @@
 
     __slots__ = ("request", "service", "waiting", "fingerprint", "explanation")
 
-    def __init__(
-        self, request: CallRequest, service: ServiceSettings, partner: str, call_id: str
-    ) -> None:
+    def __init__(self, request: CallRequest, service: str, waiting: Waiting) -> None:
         self.request = request
         self.service = service
-        timeout_ms = request.timeout_ms if request.timeout_ms is not None else service.timeout_ms
-        arrived_ms = now_ms()
-        self.waiting = Waiting(
-            call_id,
-            partner,
-            request.method in service.idempotent_methods,
-            arrived_ms + timeout_ms,
-            arrived_ms,
-        )
+        self.waiting = waiting
         self.fingerprint = request_fingerprint(
-            service.name, partner, request.method, request.target, request.body
+            service, waiting.partner, request.method, request.target, request.body
         )
         self.explanation = Explanation(
-            call_id, service.name, partner, request.method, request.target, time.time()
+            waiting.call_id, service, waiting.partner, request.method, request.target, time.time()
         )
 
+    @classmethod
+    def to_service(
+        cls, request: CallRequest, service: ServiceSettings, partner: str, call_id: str
+    ) -> "Call":
+        """Return the call to a service of the settings."""
+        timeout_ms = request.timeout_ms if request.timeout_ms is not None else service.timeout_ms
+        arrived_ms = now_ms()
+        is_idempotent = request.method in service.idempotent_methods
+        waiting = Waiting(call_id, partner, is_idempotent, arrived_ms + timeout_ms, arrived_ms)
+        return cls(request, service.name, waiting)
+
     @property
     def call_id(self) -> str:
         """Return the identity of the call."""
--- a/packages/cassiahaven-entry/cassiahaven_entry/calls.py
+++ b/packages/cassiahaven-entry/cassiahaven_entry/calls.py
@@ -57,13 +57,13 @@
         """Run ``request`` and return what its caller gets."""
         service = self._settings.service_by_name.get(request.service)
         if service is None:
-            return self.refuse(request.service, RefusalReason.UNKNOWN_SERVICE)
+            return self.refuse(request.service, NotRun(RefusalReason.UNKNOWN_SERVICE))
         partner = self._partner(request.token, service)
         if partner is None:
-            return self.refuse(request.service, RefusalReason.UNAUTHENTICATED)
+            return self.refuse(request.service, NotRun(RefusalReason.UNAUTHENTICATED))
         if len(request.body) > service.largest_body_bytes:
-            return self.refuse(request.service, RefusalReason.BODY_TOO_LARGE)
-        call = Call(request, service, partner, self._new_call_id())
+            return self.refuse(request.service, NotRun(RefusalReason.BODY_TOO_LARGE))
+        call = Call.to_service(request, service, partner, self._new_call_id())
         try:
             finished = self._run_claimed(call)
         except Exception as error:
@@ -71,11 +71,11 @@
             finished = Finished(Unknown(UnknownReason.INTERNAL))
         return self._respond(call, finished)
 
-    def refuse(self, service: str, reason: RefusalReason) -> CallResponse:
+    def refuse(self, service: str, outcome: NotRun) -> CallResponse:
         """Return the response to a request that never became a call."""
         known = service if service in self._settings.service_by_name else "unknown"
-        self._metrics.refusals.labels(known, reason.value).inc()
-        return _plain_response(self._new_call_id(), NotRun(reason))
+        self._metrics.refusals.labels(known, outcome.reason.value).inc()
+        return _plain_response(self._new_call_id(), outcome)
 
     def largest_body_bytes(self, service: str) -> int:
         """Return how much of a body is read for a call to ``service``."""
@@ -94,10 +94,10 @@
         return partner.name if partner is not None else None
 
     def _run_claimed(self, call: Call) -> Finished:
-        task = self._task_by_service[call.service.name]
+        task = self._task_by_service[call.service]
         if call.request.key is None:
             return self._attempts.run(call, task)
-        scoped = ScopedKey(call.partner, call.service.name, call.request.key)
+        scoped = ScopedKey(call.partner, call.service, call.request.key)
         claim = self._keys.claim(scoped, call.fingerprint, call.waiting.deadline_ms)
         if claim.replay is not None:
             call.note("key answered from memory", claim.replay.outcome.header)
@@ -125,7 +125,7 @@
         return CallResponse(answer.status, headers, iter((answer.body,)))
 
     def _count(self, call: Call, outcome: Outcome) -> None:
-        service = call.service.name
+        service = call.service
         kind = outcome.header.partition(";")[0]
         self._metrics.calls.labels(service, call.partner, kind).inc()
         self._metrics.latency.record(service, now_ms() - call.waiting.arrived_ms)
--- /dev/null
+++ b/packages/cassiahaven-entry/cassiahaven_entry/fleet_links.py
@@ -0,0 +1,240 @@
+"""The links between the entries of a fleet: each follows a few watchers of the store."""
+
+from collections.abc import Callable
+
+import eventlet
+
+from cassiahaven_core.membership import SILENCE_MS, Fleet, Member
+from cassiahaven_core.peer_message import (
+    CrashNotice,
+    MemberReport,
+    PeerMessage,
+    StateNews,
+    StateRequest,
+    WatcherReport,
+)
+from cassiahaven_entry.clock import MS_PER_S, now_ms
+from cassiahaven_entry.event import LogEvent, log
+from cassiahaven_entry.metrics import Metrics
+from cassiahaven_entry.peer_dialer import PeerDialer
+from cassiahaven_entry.peer_handler import PeerSubscribers
+from cassiahaven_entry.peer_server import PeerServer
+from cassiahaven_entry.supervisor import spawn_supervised
+
+REPORT_INTERVAL_MS = 500.0
+UNREACHABLE_MS = 3000.0  # an entry that restarts is back within this time
+REQUEST_TIMEOUT_MS = 400.0
+CLUSTER = "fleet"
+
+
+class FleetState:
+    """What the links need of the node: its state to pass on and its ears for news.
+
+    Args:
+        report: Returns what this entry tells its subscribers.
+        versions: Returns the version of each topic that this entry has, by name.
+        news: Returns the answer to a request for a topic.
+        on_news: Called with what a watcher passed on.
+        on_crash: Called with a notice of a request that crashed an endpoint.
+    """
+
+    __slots__ = ("report", "versions", "news", "on_news", "on_crash")
+
+    def __init__(
+        self,
+        *,
+        report: Callable[[], WatcherReport],
+        versions: Callable[[], dict[str, int]],
+        news: Callable[[StateRequest], StateNews],
+        on_news: Callable[[StateNews], None],
+        on_crash: Callable[[CrashNotice], None],
+    ) -> None:
+        self.report = report
+        self.versions = versions
+        self.news = news
+        self.on_news = on_news
+        self.on_crash = on_crash
+
+
+class WatcherLink(PeerDialer):
+    """Follow one watcher: report to it, hear who lives, and ask for what it knows newer."""
+
+    def __init__(self, member: Member, key: str, fleet: Fleet, state: FleetState) -> None:
+        super().__init__(member.name, f"ws://{member.peers}", cluster=CLUSTER, key=key)
+        self.failed_ms = float("-inf")
+        self._fleet = fleet
+        self._state = state
+        self._asked_ms_by_topic: dict[str, float] = {}
+
+    @property
+    def is_connected(self) -> bool:
+        """Tell whether the link is up."""
+        return self._connection is not None
+
+    def report(self, is_draining: bool) -> None:
+        """Tell the watcher that this entry lives."""
+        self.send(MemberReport(self._fleet.own.name, is_draining))
+
+    def drop_if_silent(self) -> None:
+        """End a connection on which nothing was heard for too long."""
+        view = self._fleet.view_by_watcher.get(self.name)
+        if self._connection is None or view is None:
+            return
+        if now_ms() - view.heard_ms > SILENCE_MS:
+            self.failed_ms = now_ms()
+            # The peer may be unreachable, so no closing handshake is tried.
+            self._connection.close_socket()
+
+    def _options(self) -> dict[str, float | None]:
+        return {"ping_interval": None}
+
+    def _on_failure(self, error: Exception) -> None:
+        self.failed_ms = now_ms()
+
+    def _on_connected(self) -> None:
+        self._asked_ms_by_topic.clear()
+        self.report(self._fleet.own.name in self._fleet.draining)
+
+    def _on_disconnected(self) -> None:
+        self.failed_ms = now_ms()
+        self._fleet.lose_view(self.name)
+
+    def _receive(self, message: PeerMessage) -> None:
+        match message:
+            case WatcherReport():
+                self._take_in(message)
+            case StateNews(topic=topic):
+                self._asked_ms_by_topic.pop(topic, None)
+                self._state.on_news(message)
+            case CrashNotice():
+                self._state.on_crash(message)
+
+    def _take_in(self, report: WatcherReport) -> None:
+        self._fleet.hear_view(
+            self.name,
+            live=report.live,
+            draining=report.draining,
+            store_age_ms=report.store_age_ms,
+            now_ms=now_ms(),
+        )
+        own = self._state.versions()
+        for topic, version in report.version_by_topic.items():
+            asked_ms = self._asked_ms_by_topic.get(topic, float("-inf"))
+            if version > own[topic] and now_ms() - asked_ms > REQUEST_TIMEOUT_MS:
+                self._asked_ms_by_topic[topic] = now_ms()
+                self.send(StateRequest(topic, own[topic]))
+
+
+class FleetLinks(PeerSubscribers):
+    """Own the links to the watchers that this entry follows and from those that follow it.
+
+    Args:
+        fleet: Members and who of them lives.
+        state: What this entry passes on and takes in.
+        key: Shared key of the links.
+    """
+
+    def __init__(self, fleet: Fleet, state: FleetState, *, key: str, metrics: Metrics) -> None:
+        self.link_by_name: dict[str, WatcherLink] = {}
+        self._fleet = fleet
+        self._state = state
+        self._key = key
+        self._name_by_connection: dict[str, str] = {}
+        host, _, port = fleet.own.peers.rpartition(":")
+        self._server = PeerServer(
+            host,
+            int(port),
+            cluster=CLUSTER,
+            key=key,
+            handler=self,
+            metrics=metrics,
+            ping_interval=None,
+        )
+
+    @property
+    def has_subscribers(self) -> bool:
+        """Tell whether another entry follows this one."""
+        return bool(self._name_by_connection)
+
+    def serve(self) -> None:
+        """Take links of other entries for ever."""
+        self._server.run()
+
+    def run(self) -> None:
+        """Follow the watchers and report to both sides for ever."""
+        while True:
+            self._follow_watchers()
+            is_draining = self._fleet.own.name in self._fleet.draining
+            for link in self.link_by_name.values():
+                link.drop_if_silent()
+                link.report(is_draining)
+            self.publish_report()
+            eventlet.sleep(REPORT_INTERVAL_MS / MS_PER_S)
+
+    def publish_report(self) -> None:
+        """Tell the subscribers what this entry has, now."""
+        if self.has_subscribers:
+            self._server.publish(self._state.report())
+
+    def publish(self, message: PeerMessage) -> None:
+        """Send ``message`` to the subscribers and the watchers that this entry follows."""
+        self._server.publish(message)
+        for link in self.link_by_name.values():
+            link.send(message)
+
+    def close(self) -> None:
+        """End all links."""
+        for link in self.link_by_name.values():
+            link.close()
+        self._server.close()
+
+    def greeting(self) -> list[PeerMessage]:
+        """Return what a new subscriber is told."""
+        return [self._state.report()]
+
+    def receive(self, connection: str, message: PeerMessage) -> list[PeerMessage]:
+        """Take in a subscriber's message and return the replies."""
+        match message:
+            case MemberReport(name=name, is_draining=is_draining):
+                is_news = connection not in self._name_by_connection
+                is_news |= is_draining != (name in self._fleet.draining)
+                self._name_by_connection[connection] = name
+                self._fleet.hear_report(name, is_draining=is_draining, now_ms=now_ms())
+                if is_news:
+                    self.publish_report()
+            case StateRequest():
+                return [self._state.news(message)]
+            case CrashNotice():
+                self._state.on_crash(message)
+                self._server.publish(message)
+        return []
+
+    def lose(self, connection: str) -> None:
+        """Take in that a subscriber's link ended."""
+        name = self._name_by_connection.pop(connection, None)
+        if name is not None and name not in self._name_by_connection.values():
+            self._fleet.lose_report(name)
+            log(LogEvent.PEER_LOST, peer=name)
+            self.publish_report()
+
+    def _follow_watchers(self) -> None:
+        failed = frozenset(
+            name
+            for name, link in self.link_by_name.items()
+            if not link.is_connected and now_ms() - link.failed_ms < UNREACHABLE_MS
+        )
+        wanted = {
+            member.name: member
+            for member in self._fleet.watchers(failed)
+            if member.name != self._fleet.own.name
+        }
+        for name, link in list(self.link_by_name.items()):
+            member = self._fleet.member_by_name.get(name)
+            is_moved = member is None or link.url != f"ws://{member.peers}"
+            if is_moved or (name not in wanted and name not in failed):
+                self.link_by_name.pop(name).close()
+        for name, member in wanted.items():
+            if name not in self.link_by_name:
+                link = WatcherLink(member, self._key, self._fleet, self._state)
+                self.link_by_name[name] = link
+                spawn_supervised(f"link to {name}", link.run)
--- /dev/null
+++ b/packages/cassiahaven-entry/cassiahaven_entry/fleet_view.py
@@ -0,0 +1,178 @@
+"""This entry's copy of the fleet's state, from the store and from watchers."""
+
+from collections.abc import Callable, Iterable
+
+from cassiahaven_core.edge import FleetChanges, Topic
+from cassiahaven_core.fleet_state import (
+    TopicState,
+    config_from_plain,
+    config_to_plain,
+    item_to_plain,
+    plain_to_item,
+)
+from cassiahaven_core.membership import Fleet, Member
+from cassiahaven_core.peer_message import StateNews, StateRequest
+from cassiahaven_core.registry import EndpointRegistry, Registration
+from cassiahaven_core.route import GatewayConfig, RoutingTable
+from cassiahaven_entry.clock import now_ms
+from cassiahaven_entry.event import LogEvent, log
+
+CLASS_BY_TOPIC = {Topic.ENDPOINTS.value: Registration, Topic.MEMBERS.value: Member}
+FROM_STORE = "store"
+FROM_PEER = "peer"
+
+
+class FleetView:
+    """Hold configuration, endpoints and members, and tell of their changes.
+
+    Args:
+        fleet: Members and who of them lives.
+        routing: The configuration in force.
+        on_config: Called when a newer configuration is in force.
+        on_endpoints: Called when endpoints changed.
+        on_members: Called when members changed.
+    """
+
+    def __init__(
+        self,
+        fleet: Fleet,
+        routing: RoutingTable,
+        *,
+        on_config: Callable[[GatewayConfig], None],
+        on_endpoints: Callable[[Iterable[Registration]], None],
+        on_members: Callable[[], None],
+    ) -> None:
+        self.registry = EndpointRegistry()
+        self._fleet = fleet
+        self._routing = routing
+        self._endpoints = TopicState()
+        self._members = TopicState()
+        self._on_config = on_config
+        self._on_endpoints = on_endpoints
+        self._on_members = on_members
+
+    @property
+    def has_endpoints(self) -> bool:
+        """Tell whether any endpoint is known."""
+        return bool(self._endpoints.item_by_name)
+
+    def versions(self) -> dict[str, int]:
+        """Return the version of each topic that this entry has, by name."""
+        return {
+            Topic.CONFIGURATION.value: self._routing.version,
+            Topic.ENDPOINTS.value: self._endpoints.revision,
+            Topic.MEMBERS.value: self._members.revision,
+        }
+
+    def news(self, request: StateRequest) -> StateNews:
+        """Return what the sender of ``request`` lacks."""
+        topic = request.topic
+        if topic == Topic.CONFIGURATION.value:
+            config = self._routing.config
+            plain = {} if config is None else {"": config_to_plain(config)}
+            return StateNews(topic, self._routing.version, True, plain)
+        state = self._members if topic == Topic.MEMBERS.value else self._endpoints
+        changed = state.changed_since(request.revision)
+        if changed is None:
+            return self._whole(topic, state)
+        plain = {
+            name: None if item is None else item_to_plain(item) for name, item in changed.items()
+        }
+        return StateNews(topic, state.revision, False, plain)
+
+    def take_news(self, news: StateNews) -> None:
+        """Take in what a watcher passed on."""
+        if news.topic == Topic.CONFIGURATION.value:
+            for plain in news.plain_by_name.values():
+                self._put_in_force(config_from_plain(plain), FROM_PEER)
+            return
+        kind = CLASS_BY_TOPIC[news.topic]
+        items = {
+            name: None if plain is None else plain_to_item(kind, plain)
+            for name, plain in news.plain_by_name.items()
+        }
+        if news.topic == Topic.MEMBERS.value:
+            self._take_members(items, news.revision, is_whole=news.is_whole)
+            return
+        if news.revision < self._endpoints.revision:
+            return
+        self._merge_endpoints(items, is_whole=news.is_whole)
+        self._settle_endpoints(news.revision, FROM_PEER)
+
+    def take_changes(self, topic: Topic, changes: FleetChanges) -> None:
+        """Take in what the store told."""
+        if topic is Topic.CONFIGURATION:
+            for change in changes.changes:
+                if isinstance(change.item, GatewayConfig):
+                    self._put_in_force(change.item, FROM_STORE)
+            return
+        items = {change.name: change.item for change in changes.changes}
+        if topic is Topic.MEMBERS:
+            self._take_members(items, changes.revision, is_whole=changes.is_whole)
+            return
+        if changes.revision < self._endpoints.revision:
+            return
+        self._merge_endpoints(items, is_whole=changes.is_whole)
+        self._settle_endpoints(changes.revision, FROM_STORE)
+
+    def expire(self) -> StateNews | None:
+        """Drop endpoints that did not come back after an outage; return the news of it."""
+        if not self.registry.expire(now_ms()):
+            return None
+        self._settle_endpoints(self._endpoints.revision, "outage")
+        return self._whole(Topic.ENDPOINTS.value, self._endpoints)
+
+    def note_store(self, is_available: bool) -> None:
+        """Take in that the store went away or came back."""
+        self.registry.note_store(is_available=is_available, now_ms=now_ms())
+
+    def _whole(self, topic: str, state: TopicState) -> StateNews:
+        plain = {name: item_to_plain(item) for name, item in state.item_by_name.items()}
+        return StateNews(topic, state.revision, True, plain)
+
+    def _put_in_force(self, config: GatewayConfig, source: str) -> None:
+        if not self._routing.put_in_force(config):
+            return
+        log(
+            LogEvent.CONFIGURATION_IN_FORCE,
+            version=config.version,
+            routes=len(config.routes),
+            source=source,
+        )
+        self._on_config(config)
+
+    def _take_members(
+        self, items: dict[str, Member | None], revision: int, *, is_whole: bool
+    ) -> None:
+        known = {name: item for name, item in items.items() if item is not None}
+        if is_whole:
+            changed = self._members.replace(known, revision)
+        else:
+            changed = self._members.change(items, revision)
+        if changed:
+            self._fleet.set_members(self._members.item_by_name.values())
+            self._on_members()
+
+    def _merge_endpoints(self, items: dict[str, Registration | None], *, is_whole: bool) -> None:
+        known = {name: item for name, item in items.items() if item is not None}
+        if is_whole:
+            self.registry.replace(known.values(), now_ms())
+            return
+        for name, item in items.items():
+            if item is None:
+                self.registry.remove(name, now_ms())
+            else:
+                self.registry.put(item)
+
+    def _settle_endpoints(self, revision: int, source: str) -> None:
+        current = dict(self.registry.registration_by_endpoint)
+        if not self._endpoints.replace(current, revision):
+            return
+        log(
+            LogEvent.ENDPOINTS_CHANGED,
+            revision=revision,
+            endpoints=len(current),
+            draining=sum(item.is_draining for item in current.values()),
+            source=source,
+        )
+        self._on_endpoints(current.values())
--- a/packages/cassiahaven-entry/cassiahaven_entry/gateway.py
+++ b/packages/cassiahaven-entry/cassiahaven_entry/gateway.py
@@ -1,38 +1,49 @@
-"""The callers' side: HTTP calls and address questions."""
+"""The callers' side over HTTP."""
 
-import json
 from collections.abc import Callable, Iterable, Iterator
 from http import HTTPStatus
-from typing import Any, TypeAlias
 
 import eventlet
 from eventlet import wsgi
 
 from cassiahaven_core.edge import CallerFrontend, CallRequest, CallResponse
+from cassiahaven_core.outcome import NotRun
 from cassiahaven_core.reason import RefusalReason
-from cassiahaven_entry import call_header
+from cassiahaven_entry.caller_dialect import (
+    TARGET,
+    CallerDialect,
+    CallHead,
+    Environ,
+    RequestRejected,
+)
+from cassiahaven_entry.caller_watch import CallerLeft, watching
+from cassiahaven_entry.clock import MS_PER_S
+from cassiahaven_entry.event import LogEvent, log
 from cassiahaven_entry.http_transport import HOP_BY_HOP
 
-Environ: TypeAlias = dict[str, Any]
-CALL_PREFIX = "/v1/call/"
-ADDRESSES_PREFIX = "/v1/addresses/"
 SOCKET_TIMEOUT_S = 15.0  # 5 s cut off callers on slow links in the middle of a body
 LARGEST_CONNECTION_COUNT = 2000
 LONGEST_URL_BYTES = 8192
 BODY_PART_BYTES = 65_536
-DROPPED_HEADERS = HOP_BY_HOP | call_header.RESERVED | {"host", "authorization", "content-length"}
-BEARER = "bearer "
+BACKLOG = 1024
+CONNECTION = "cassiahaven.connection"
+CALLER_LEFT_STATUS = 499  # never read by anybody
+CLOSE_HEADER = ("Connection", "close")
 
 
-class RequestRejected(Exception):
-    """Report a request that cannot become a call."""
+class _CallerProtocol(wsgi.HttpProtocol):
+    """Keep what the library's environment leaves out: the connection and the raw target."""
 
-    __slots__ = ("service", "reason")
+    def _read_request_line(self) -> bytes | str:
+        # The application is a bound method of the frontend.
+        self.connection.settimeout(self.server.app.__self__.idle_timeout_s)
+        return super()._read_request_line()
 
-    def __init__(self, service: str, reason: RefusalReason) -> None:
-        super().__init__(reason.value)
-        self.service = service
-        self.reason = reason
+    def get_environ(self) -> Environ:
+        environ = super().get_environ()
+        environ[CONNECTION] = self.connection
+        environ[TARGET] = self.raw_requestline.split(b" ", 2)[1].decode("latin-1")
+        return environ
 
 
 class HttpFrontend(CallerFrontend):
@@ -41,29 +52,27 @@
     Args:
         host: Address to listen on.
         port: Port to listen on.
-        addresses: Returns the answer to an address question for a service and an availability
-            zone, ``None`` for an unknown service.
-        refuse: Returns the response to a request that cannot become a call.
-        largest_body_bytes: Returns the limit of a service's bodies.
+        dialect: Reader of callers' requests.
+
+    Attributes:
+        in_flight: Requests that are being answered.
+        is_closing: Whether answers ask callers to close their connections.
     """
 
-    def __init__(
-        self,
-        host: str,
-        port: int,
-        *,
-        addresses: Callable[[str, str | None], dict[str, Any] | None],
-        refuse: Callable[[str, RefusalReason], CallResponse],
-        largest_body_bytes: Callable[[str], int],
-    ) -> None:
+    def __init__(self, host: str, port: int, *, dialect: CallerDialect) -> None:
         self.in_flight = 0
-        self._addresses = addresses
-        self._refuse = refuse
-        self._largest_body_bytes = largest_body_bytes
-        self._socket = eventlet.listen((host, port), backlog=1024, reuse_port=False)
+        self.is_closing = False
+        self._dialect = dialect
+        self._dropped_headers = HOP_BY_HOP | dialect.dropped_headers | {"content-length"}
+        self._socket = eventlet.listen((host, port), backlog=BACKLOG, reuse_port=False)
         self._pool = eventlet.GreenPool(LARGEST_CONNECTION_COUNT)
         self._handler: Callable[[CallRequest], CallResponse] | None = None
 
+    @property
+    def idle_timeout_s(self) -> float:
+        """Return how long a connection may stay idle, seconds."""
+        return self._dialect.idle_timeout_ms / MS_PER_S
+
     def serve(self, handler: Callable[[CallRequest], CallResponse]) -> None:
         """Serve until ``stop`` is called."""
         self._handler = handler
@@ -75,6 +84,8 @@
             debug=False,
             socket_timeout=SOCKET_TIMEOUT_S,
             url_length_limit=LONGEST_URL_BYTES,
+            protocol=_CallerProtocol,
+            capitalize_response_headers=False,
         )
 
     def stop(self) -> None:
@@ -85,77 +96,84 @@
         self.in_flight += 1
         try:
             response = self._respond(environ)
+        except CallerLeft:
+            response = CallResponse(CALLER_LEFT_STATUS, (CLOSE_HEADER,), iter(()))
         except BaseException:
             self.in_flight -= 1
             raise
-        start_response(_status_line(response.status), list(response.headers))
+        headers = list(response.headers)
+        if self.is_closing:
+            headers.append(CLOSE_HEADER)
+        start_response(_status_line(response.status), headers)
         return _ResponseBody(response, self)
 
     def _respond(self, environ: Environ) -> CallResponse:
-        path = environ["PATH_INFO"]
-        if path.startswith(ADDRESSES_PREFIX):
-            return self._answer_address(path.removeprefix(ADDRESSES_PREFIX), environ)
+        direct = self._dialect.answer_directly(environ)
+        if direct is not None:
+            return direct
+        head: CallHead | None = None
         try:
-            request = self._read(environ)
+            head = self._dialect.read_head(environ)
+            request = self._read(environ, head)
         except RequestRejected as error:
-            return self._refuse(error.service, error.reason)
-        return self._handler(request)
-
-    def _answer_address(self, service: str, environ: Environ) -> CallResponse:
-        answer = self._addresses(service, environ.get("HTTP_AVAILABILITY_ZONE"))
-        if answer is None:
-            return self._refuse(service, RefusalReason.UNKNOWN_SERVICE)
-        body = json.dumps(answer).encode()
-        headers = (("Content-Type", "application/json"), ("Content-Length", str(len(body))))
-        return CallResponse(HTTPStatus.OK, headers, iter((body,)))
-
-    def _read(self, environ: Environ) -> CallRequest:
-        path = environ["PATH_INFO"]
-        if not path.startswith(CALL_PREFIX):
-            raise RequestRejected("", RefusalReason.UNKNOWN_SERVICE)
-        service, _, _ = path.removeprefix(CALL_PREFIX).partition("/")
+            log(LogEvent.REQUEST_REJECTED, reason=error.reason.value, target=environ[TARGET][:200])
+            request_id = head.request_id if head is not None else None
+            outcome = NotRun(error.reason)
+            return self._dialect.own_answer(error.service, outcome, request_id=request_id)
+        with watching(environ.get(CONNECTION)):
+            return self._handler(request)
+
+    def _read(self, environ: Environ, head: CallHead) -> CallRequest:
         return CallRequest(
-            service=service,
+            service=head.service,
             method=environ["REQUEST_METHOD"],
-            target=_target(environ, service),
-            headers=tuple(_headers(environ)),
-            body=self._read_body(environ, service),
-            token=_token(environ),
-            key=environ.get("HTTP_IDEMPOTENCY_KEY"),
-            timeout_ms=_timeout_ms(environ, service),
+            target=head.target,
+            headers=tuple(self._headers(environ)),
+            body=self._read_body(environ, head),
+            token=head.token,
+            key=head.key,
+            timeout_ms=head.timeout_ms,
+            host=head.host,
+            request_id=head.request_id,
         )
 
-    def _read_body(self, environ: Environ, service: str) -> bytes:
+    def _headers(self, environ: Environ) -> Iterator[tuple[str, str]]:
+        named = environ.get("HTTP_CONNECTION", "").lower().split(",")
+        dropped = self._dropped_headers.union(name.strip() for name in named)
+        for name, value in environ["headers_raw"]:
+            if name.lower() not in dropped:
+                yield name, value
+
+    def _read_body(self, environ: Environ, head: CallHead) -> bytes:
         declared = environ.get("CONTENT_LENGTH") or ""
-        limit = self._largest_body_bytes(service)
-        if declared and (not declared.isdigit() or int(declared) > limit):
+        if declared and (not declared.isdigit() or int(declared) > head.largest_body_bytes):
             reason = (
                 RefusalReason.BODY_TOO_LARGE
                 if declared.isdigit()
                 else RefusalReason.MALFORMED_REQUEST
             )
-            raise RequestRejected(service, reason)
+            raise RequestRejected(head.service, reason)
         if not declared and environ.get("HTTP_TRANSFER_ENCODING") is None:
             return b""
-        body = self._read_parts(environ, service, limit)
+        body = self._read_parts(environ, head)
         if declared and len(body) != int(declared):
-            raise RequestRejected(service, RefusalReason.BODY_INCOMPLETE)
+            raise RequestRejected(head.service, RefusalReason.BODY_INCOMPLETE)
         return body
 
-    def _read_parts(self, environ: Environ, service: str, limit: int) -> bytes:
+    def _read_parts(self, environ: Environ, head: CallHead) -> bytes:
         parts: list[bytes] = []
         size = 0
         while True:
             try:
                 part = environ["wsgi.input"].read(BODY_PART_BYTES)
             except (OSError, ValueError):
-                raise RequestRejected(service, RefusalReason.BODY_INCOMPLETE) from None
+                raise RequestRejected(head.service, RefusalReason.BODY_INCOMPLETE) from None
             if not part:
                 return b"".join(parts)
             parts.append(part)
             size += len(part)
-            if size > limit:
-                raise RequestRejected(service, RefusalReason.BODY_TOO_LARGE)
+            if size > head.largest_body_bytes:
+                raise RequestRejected(head.service, RefusalReason.BODY_TOO_LARGE)
 
 
 class _ResponseBody:
@@ -192,32 +210,8 @@
         return f"{status} Unassigned"
 
 
-def _target(environ: Environ, service: str) -> str:
-    raw = environ.get("RAW_PATH_INFO") or environ["PATH_INFO"]
-    target = raw[len(CALL_PREFIX) + len(service) :] or "/"
-    query = environ.get("QUERY_STRING")
-    return f"{target}?{query}" if query else target
-
-
-def _headers(environ: Environ) -> Iterator[tuple[str, str]]:
-    for name, value in environ["headers_raw"]:
-        if name.lower() not in DROPPED_HEADERS:
-            yield name, value
-
-
-def _token(environ: Environ) -> str | None:
-    authorization = environ.get("HTTP_AUTHORIZATION")
-    if authorization is None:
-        return None
-    if not authorization.lower().startswith(BEARER):
-        return ""
-    return authorization[len(BEARER) :].strip()
-
-
-def _timeout_ms(environ: Environ, service: str) -> float | None:
-    text = environ.get("HTTP_REQUEST_TIMEOUT_MS")
-    if text is None:
-        return None
-    if not text.isdigit():
-        raise RequestRejected(service, RefusalReason.MALFORMED_REQUEST)
-    return float(text)
+def _status_line(status: int) -> str:
+    try:
+        return f"{int(status)} {HTTPStatus(status).phrase}"
+    except ValueError:
+        return f"{status} Unassigned"
--- /dev/null
+++ b/packages/cassiahaven-entry/cassiahaven_entry/header_dialect.py
@@ -0,0 +1,48 @@
+"""How entries and upstreams speak with each other in headers."""
+
+from http import HTTPStatus
+
+from cassiahaven_core.edge import CallRequest, UpstreamDialect, UpstreamSignal
+from cassiahaven_core.pool import LoadReport, ProbeFailed
+from cassiahaven_entry import call_header
+
+LOAD_HEADER = "upstream-load"
+DRAINING_HEADER = "upstream-draining"
+NOT_RUN_HEADER = "upstream-not-run"
+
+
+class HeaderDialect(UpstreamDialect):
+    """Read load, drain and refusals from answer headers, so that measuring costs no probe."""
+
+    def request_headers(
+        self, request: CallRequest, call_id: str, partner: str, endpoint: str, left_ms: float
+    ) -> tuple[tuple[str, str], ...]:
+        """Return the call's id, partner and remaining time."""
+        return (
+            (call_header.CALL_ID, call_id),
+            (call_header.CALL_PARTNER, partner),
+            (call_header.REQUEST_TIMEOUT_MS, str(int(left_ms))),
+        )
+
+    def read_head(
+        self, status: int, headers: dict[str, str], request_id: str | None
+    ) -> UpstreamSignal:
+        """Return what the headers say; a malformed load counts as none."""
+        return UpstreamSignal(
+            load=_load(headers),
+            draining=DRAINING_HEADER in headers,
+            not_run=NOT_RUN_HEADER in headers,
+        )
+
+    def read_health(
+        self, status: int, headers: dict[str, str], endpoint: str
+    ) -> LoadReport | ProbeFailed:
+        """Return the load; an endpoint that does not tell it is taken as idle."""
+        if status != HTTPStatus.OK:
+            return ProbeFailed(f"status {status}")
+        return _load(headers) or LoadReport(0)
+
+
+def _load(headers: dict[str, str]) -> LoadReport | None:
+    load = headers.get(LOAD_HEADER, "")
+    return LoadReport(int(load)) if load.isdigit() else None
--- a/packages/cassiahaven-entry/cassiahaven_entry/http_transport.py
+++ b/packages/cassiahaven-entry/cassiahaven_entry/http_transport.py
@@ -1,32 +1,36 @@
 """Calls to upstreams over HTTP."""
 
-from collections.abc import Iterator
+import socket
+from collections.abc import Container, Iterator
 
 import urllib3
+from urllib3.connection import HTTPConnection
 from urllib3.exceptions import (
     ConnectTimeoutError,
     HTTPError,
     NewConnectionError,
     ReadTimeoutError,
 )
+from urllib3.util import SKIP_HEADER
 
 from cassiahaven_core.edge import (
     SendFailed,
     SendResult,
     TransferBroken,
     UpstreamAnswer,
+    UpstreamDialect,
     UpstreamRequest,
     UpstreamTransport,
 )
-from cassiahaven_core.pool import CallResult, EndpointAddress
+from cassiahaven_core.pool import CallResult, EndpointAddress, LoadReport, ProbeFailed
 from cassiahaven_entry._connection import PeekingConnection
 
 CONNECT_TIMEOUT_S = 0.5
+UNACKNOWLEDGED_MS = 600  # a connection that went silent is given up while a retry still helps
 PART_BYTES = 65_536
 LARGEST_POOL = 32
 MS_PER_S = 1000.0
 BODILESS_STATUSES = frozenset({204, 304})
-NOT_RUN_HEADER = "upstream-not-run"
 HOP_BY_HOP = frozenset(
     {
         "connection",
@@ -41,18 +45,46 @@
 )
 
 
+SOCKET_OPTIONS = [
+    *HTTPConnection.default_socket_options,
+    (socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, UNACKNOWLEDGED_MS),
+]
+# The library adds these headers where a caller sent none.
+SUPPRESSED_HEADERS = ("User-Agent", "Accept-Encoding")
+
+
+class _CallHeaders(urllib3.HTTPHeaderDict):
+    """Carry the request target past the library, which would rewrite its percent-encodings."""
+
+    target: str = ""
+
+    def copy(self) -> "_CallHeaders":
+        copied = super().copy()
+        copied.target = self.target
+        return copied
+
+
 class _ConnectionPool(urllib3.HTTPConnectionPool):
     ConnectionCls = PeekingConnection
 
+    def _make_request(
+        self, conn, method, url, *, headers, **options
+    ):  # noqa: ANN001, ANN003, ANN202
+        return super()._make_request(conn, method, headers.target, headers=headers, **options)
+
 
 class HttpTransport(UpstreamTransport):
     """Send calls through one connection pool an endpoint incarnation.
 
     A non-idempotent call goes over a connection of its own: a pooled one may die unseen, and then
     nobody could say whether the call was run.
+
+    Args:
+        dialect: Way of speaking with upstreams.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, dialect: UpstreamDialect) -> None:
+        self._dialect = dialect
         self._pool_by_incarnation: dict[tuple[str, str], urllib3.HTTPConnectionPool] = {}
 
     def send(
@@ -67,7 +99,7 @@
                 request.method,
                 request.target,
                 body=request.body or None,
-                headers=urllib3.HTTPHeaderDict(request.headers),
+                headers=_headers(request),
                 retries=False,
                 redirect=False,
                 timeout=timeout,
@@ -82,6 +114,36 @@
             return SendFailed(CallResult.CONNECTION_LOST, str(error))
         return self._answer(request, response)
 
+    def probe(
+        self, address: EndpointAddress, path: str, timeout_ms: float
+    ) -> LoadReport | ProbeFailed:
+        """Return an endpoint's load by its health path."""
+        request = UpstreamRequest("GET", path, (), b"", True)
+        try:
+            response = self._pool(address).urlopen(
+                request.method,
+                path,
+                headers=_headers(request),
+                retries=False,
+                redirect=False,
+                timeout=timeout_ms / MS_PER_S,
+                decode_content=False,
+            )
+        except (HTTPError, OSError) as error:
+            return ProbeFailed(f"{type(error).__name__}: {error}")
+        value_by_name = {name.lower(): value for name, value in response.headers.items()}
+        return self._dialect.read_health(response.status, value_by_name, address.endpoint)
+
+    def is_down(self, address: EndpointAddress) -> bool:
+        """Tell whether the address refuses a new connection."""
+        try:
+            with socket.create_connection((address.host, address.port), CONNECT_TIMEOUT_S):
+                return False
+        except ConnectionRefusedError:
+            return True
+        except OSError:
+            return False
+
     def forget(self, listed: set[tuple[str, str]]) -> None:
         """Close the pools of endpoint incarnations that are not in ``listed``."""
         for key in list(self._pool_by_incarnation):
@@ -89,36 +151,61 @@
                 self._pool_by_incarnation.pop(key).close()
 
     def _answer(self, request: UpstreamRequest, response: urllib3.BaseHTTPResponse) -> SendResult:
-        names = {name.lower() for name in response.headers}
-        if not _has_known_end(request, response, names):
-            # Nobody could tell a whole answer from one that was cut.
+        value_by_name = {name.lower(): value for name, value in response.headers.items()}
+        signal = self._dialect.read_head(response.status, value_by_name, request.request_id)
+        if not signal.is_genuine:
             response.close()
-            return SendFailed(CallResult.CONNECTION_LOST, "answer without a length")
-        if NOT_RUN_HEADER in names:
+            return SendFailed(CallResult.CONNECTION_LOST, "answer belongs to another call")
+        if signal.not_run:
             response.drain_conn()
             response.release_conn()
-            return SendFailed(CallResult.REFUSED, f"status {response.status}")
+            result = CallResult.REPLACED if signal.other_incarnation else CallResult.REFUSED
+            return SendFailed(result, f"status {response.status}", signal)
+        if not self._dialect.accepts_unframed and not _has_known_end(
+            request, response, value_by_name
+        ):
+            # Nobody could tell a whole answer from one that was cut.
+            response.close()
+            return SendFailed(CallResult.CONNECTION_LOST, "answer without a length")
         headers = tuple(
             (name, value)
             for name, value in response.headers.items()
             if name.lower() not in HOP_BY_HOP
         )
-        return UpstreamAnswer(response.status, headers, _parts(response), response.close)
+        return UpstreamAnswer(response.status, headers, _parts(response), response.close, signal)
 
     def _pool(self, address: EndpointAddress) -> urllib3.HTTPConnectionPool:
         key = (address.endpoint, address.incarnation)
         pool = self._pool_by_incarnation.get(key)
         if pool is None:
-            pool = _ConnectionPool(address.host, address.port, maxsize=LARGEST_POOL, retries=False)
+            pool = self._new_pool(address, LARGEST_POOL)
             self._pool_by_incarnation[key] = pool
         return pool
 
     def _single_use_pool(self, address: EndpointAddress) -> urllib3.HTTPConnectionPool:
-        return _ConnectionPool(address.host, address.port, maxsize=1, retries=False)
+        return self._new_pool(address, 1)
+
+    def _new_pool(self, address: EndpointAddress, size: int) -> urllib3.HTTPConnectionPool:
+        return _ConnectionPool(
+            address.host,
+            address.port,
+            maxsize=size,
+            retries=False,
+            socket_options=SOCKET_OPTIONS,
+        )
+
+
+def _headers(request: UpstreamRequest) -> _CallHeaders:
+    headers = _CallHeaders(request.headers)
+    headers.target = request.target
+    for name in SUPPRESSED_HEADERS:
+        if name not in headers:
+            headers[name] = SKIP_HEADER
+    return headers
 
 
 def _has_known_end(
-    request: UpstreamRequest, response: urllib3.BaseHTTPResponse, names: set[str]
+    request: UpstreamRequest, response: urllib3.BaseHTTPResponse, names: Container[str]
 ) -> bool:
     if request.method == "HEAD" or response.status in BODILESS_STATUSES:
         return True
--- a/packages/cassiahaven-entry/cassiahaven_entry/main.py
+++ b/packages/cassiahaven-entry/cassiahaven_entry/main.py
@@ -18,7 +18,7 @@
 
 from cassiahaven_core.finding import InvalidDocument
 from cassiahaven_core.settings import Settings, read_settings
-from cassiahaven_entry.header_signals import HeaderSignals
+from cassiahaven_entry.header_dialect import HeaderDialect
 from cassiahaven_entry.http_probe import HttpProbe
 from cassiahaven_entry.http_store import HttpObjectStore
 from cassiahaven_entry.http_vm_list import HttpVmList
@@ -76,7 +76,7 @@
         settings,
         HttpObjectStore(settings.platform.store, metrics),
         HttpVmList(settings.platform.vm_list),
-        HeaderSignals(),
+        HeaderDialect(),
         HttpProbe(),
         metrics,
     )
--- a/packages/cassiahaven-entry/cassiahaven_entry/node.py
+++ b/packages/cassiahaven-entry/cassiahaven_entry/node.py
@@ -8,7 +8,7 @@
 import eventlet
 from eventlet.greenthread import GreenThread
 
-from cassiahaven_core.edge import ObjectStore, UpstreamProbe, UpstreamSignals, Vm, VmList
+from cassiahaven_core.edge import ObjectStore, UpstreamDialect, UpstreamProbe, Vm, VmList
 from cassiahaven_core.explanation import Explanation, Step
 from cassiahaven_core.peer_message import (
     CrashNotice,
@@ -32,6 +32,7 @@
 from cassiahaven_entry.keys import Keys
 from cassiahaven_entry.members import Members
 from cassiahaven_entry.metrics import Metrics
+from cassiahaven_entry.native_callers import NativeCallers
 from cassiahaven_entry.peer_handler import PeerHandler
 from cassiahaven_entry.peer_server import PeerServer
 from cassiahaven_entry.prober import Prober
@@ -56,7 +57,7 @@
         settings: Checked settings.
         store: The platform's object store.
         vm_list: The platform's VM list.
-        signals: Reader of what upstreams say of themselves.
+        dialect: Way of speaking with upstreams.
         probe: Active measurement of upstreams.
         metrics: Counters.
     """
@@ -66,7 +67,7 @@
         settings: Settings,
         store: ObjectStore,
         vm_list: VmList,
-        signals: UpstreamSignals,
+        dialect: UpstreamDialect,
         probe: UpstreamProbe,
         metrics: Metrics,
     ) -> None:
@@ -89,7 +90,7 @@
         self.heartbeats = Heartbeats(
             self.own_address, self.tables, self.task_by_service, self.peer_server.publish
         )
-        self.transport = HttpTransport()
+        self.transport = HttpTransport(dialect)
         self.endpoints = Endpoints(
             settings,
             vm_list,
@@ -97,7 +98,7 @@
             on_vms=self._take_in_vms,
             on_drain=self.peer_server.publish,
         )
-        self._build_calls(signals)
+        self._build_calls(dialect)
         self.probers = self._make_probers(store, probe)
 
     def _build_peers(self) -> None:
@@ -120,11 +121,11 @@
             metrics=self.metrics,
         )
 
-    def _build_calls(self, signals: UpstreamSignals) -> None:
+    def _build_calls(self, dialect: UpstreamDialect) -> None:
         self.quarantine = Quarantine()
         attempts = AttemptRunner(
             self.transport,
-            signals,
+            dialect,
             self.quarantine,
             metrics=self.metrics,
             on_drain=self.endpoints.note_drain,
@@ -141,9 +142,11 @@
         self.frontend = HttpFrontend(
             self.settings.entry.host,
             self.settings.entry.caller_port,
-            addresses=self.addresses,
-            refuse=self.calls.refuse,
-            largest_body_bytes=self.calls.largest_body_bytes,
+            dialect=NativeCallers(
+                addresses=self.addresses,
+                own_answer=self.calls.refuse,
+                largest_body_bytes=self.calls.largest_body_bytes,
+            ),
         )
 
     def _make_probers(self, store: ObjectStore, probe: UpstreamProbe) -> list[Prober]:
--- a/packages/cassiahaven-entry/cassiahaven_entry/operator_api.py
+++ b/packages/cassiahaven-entry/cassiahaven_entry/operator_api.py
@@ -200,7 +200,7 @@
                     "reason": endpoint.status_reason,
                     "in_flight": endpoint.in_flight,
                     "slots": endpoint.address.slots,
-                    "reported_in_flight": endpoint.reported_in_flight,
+                    "reported_in_flight": endpoint.reported.running if endpoint.reported else None,
                     "slowness": round(endpoint.slowness, 2),
                     "failures": endpoint.consecutive_failures,
                     "availability_zone": endpoint.address.availability_zone,
--- /dev/null
+++ b/packages/cassiahaven-entry/cassiahaven_entry/peer_dialer.py
@@ -0,0 +1,117 @@
+"""A connection to a peer that is dialled again whenever it ends."""
+
+from abc import ABC, abstractmethod
+from collections.abc import Iterator
+from contextlib import contextmanager
+
+import eventlet
+from websockets.exceptions import InvalidStatus
+from websockets.sync.client import ClientConnection, connect
+
+from cassiahaven_core.peer_message import MalformedMessage, PeerMessage, decode, encode
+from cassiahaven_entry.clock import MS_PER_S
+from cassiahaven_entry.event import LogEvent, log
+from cassiahaven_entry.peer_handler import (
+    CLOSE_TIMEOUT_S,
+    CLUSTER_HEADER,
+    CONNECTION_ERRORS,
+    LARGEST_MESSAGE_BYTES,
+    OPEN_TIMEOUT_S,
+)
+
+RECONNECT_DELAY_MS = 200.0
+
+
+class PeerDialer(ABC):
+    """Stay connected to one peer, as long as this task runs.
+
+    Args:
+        name: Name of the peer's VM.
+        url: Address of its peer port.
+        cluster: Name of the cluster.
+        key: Shared key of the peer links.
+    """
+
+    def __init__(self, name: str, url: str, *, cluster: str, key: str) -> None:
+        self.name = name
+        self.url = url
+        self._headers = {"Authorization": f"Bearer {key}", CLUSTER_HEADER: cluster}
+        self._connection: ClientConnection | None = None
+        self._is_closed = False
+
+    def run(self) -> None:
+        """Connect again and again until the link is closed."""
+        while not self._is_closed:
+            try:
+                self._connect()
+            except InvalidStatus as error:
+                log(LogEvent.PEER_LOST, peer=self.name, error=str(error))
+            except MalformedMessage as error:
+                log(LogEvent.PEER_MESSAGE_MALFORMED, peer=self.name, error=str(error))
+            except CONNECTION_ERRORS as error:
+                self._on_failure(error)
+            eventlet.sleep(RECONNECT_DELAY_MS / MS_PER_S)
+
+    def close(self) -> None:
+        """End the link."""
+        self._is_closed = True
+        if self._connection is not None:
+            self._connection.close()
+
+    def send(self, message: PeerMessage) -> bool:
+        """Send ``message`` and tell whether it left this process."""
+        if self._connection is None:
+            return False
+        try:
+            self._connection.send(encode(message))
+        except CONNECTION_ERRORS:
+            return False
+        return True
+
+    def _connect(self) -> None:
+        with (
+            connect(
+                self.url,
+                additional_headers=self._headers,
+                compression=None,
+                proxy=None,
+                max_size=LARGEST_MESSAGE_BYTES,
+                open_timeout=OPEN_TIMEOUT_S,
+                close_timeout=CLOSE_TIMEOUT_S,
+                **self._options(),
+            ) as connection,
+            self._connected(connection),
+        ):
+            for data in connection:
+                self._receive(decode(data))
+
+    @contextmanager
+    def _connected(self, connection: ClientConnection) -> Iterator[None]:
+        self._connection = connection
+        log(LogEvent.PEER_CONNECTED, peer=self.name)
+        self._on_connected()
+        try:
+            yield
+        finally:
+            self._connection = None
+            self._on_disconnected()
+            log(LogEvent.PEER_LOST, peer=self.name)
+
+    def _options(self) -> dict[str, float | None]:
+        return {}
+
+    @abstractmethod
+    def _on_failure(self, error: Exception) -> None:
+        """Take in that a connection could not be opened or broke."""
+
+    @abstractmethod
+    def _on_connected(self) -> None:
+        """Take in that a connection is up."""
+
+    @abstractmethod
+    def _on_disconnected(self) -> None:
+        """Take in that the connection ended."""
+
+    @abstractmethod
+    def _receive(self, message: PeerMessage) -> None:
+        """Take in a message."""
--- a/packages/cassiahaven-entry/cassiahaven_entry/peer_handler.py
+++ b/packages/cassiahaven-entry/cassiahaven_entry/peer_handler.py
@@ -1,11 +1,20 @@
 """What both ends of a peer link share."""
 
+from abc import ABC, abstractmethod
 from collections.abc import Callable
 
 from websockets.exceptions import WebSocketException
 
 from cassiahaven_core.idempotency import PeerReply
-from cassiahaven_core.peer_message import Heartbeat, KeyQuestion, PeerMessage, TableRows
+from cassiahaven_core.peer_message import (
+    Heartbeat,
+    KeyQuestion,
+    KeyReply,
+    PeerMessage,
+    RevisionsRequest,
+    TableRequest,
+    TableRows,
+)
 
 OPEN_TIMEOUT_S = 1.0
 CLOSE_TIMEOUT_S = 0.2
@@ -14,10 +23,26 @@
 CONNECTION_ERRORS = (OSError, WebSocketException, EOFError, TimeoutError)
 
 
-class PeerHandler:
+class PeerSubscribers(ABC):
+    """Decide what the peers that dialled in are told."""
+
+    @abstractmethod
+    def greeting(self) -> list[PeerMessage]:
+        """Return what a new subscriber is told."""
+
+    @abstractmethod
+    def receive(self, connection: str, message: PeerMessage) -> list[PeerMessage]:
+        """Take in a message and return the replies."""
+
+    @abstractmethod
+    def lose(self, connection: str) -> None:
+        """Take in that a connection ended."""
+
+
+class PeerHandler(PeerSubscribers):
     """Hold the callables that decide what peers are told and what their messages do."""
 
-    __slots__ = ("greeting", "full_heartbeat", "on_message", "answer_question", "table_rows")
+    __slots__ = ("_greeting", "full_heartbeat", "on_message", "answer_question", "table_rows")
 
     def __init__(
         self,
@@ -28,8 +53,27 @@
         answer_question: Callable[[KeyQuestion], PeerReply],
         table_rows: Callable[[str], TableRows],
     ) -> None:
-        self.greeting = greeting
+        self._greeting = greeting
         self.full_heartbeat = full_heartbeat
         self.on_message = on_message
         self.answer_question = answer_question
         self.table_rows = table_rows
+
+    def greeting(self) -> list[PeerMessage]:
+        """Return what a new subscriber is told."""
+        return self._greeting()
+
+    def receive(self, connection: str, message: PeerMessage) -> list[PeerMessage]:
+        """Take in a message and return the replies."""
+        match message:
+            case KeyQuestion(question=question):
+                return [KeyReply(question, self.answer_question(message))]
+            case RevisionsRequest():
+                return [self.full_heartbeat()]
+            case TableRequest(service=service):
+                return [self.table_rows(service)]
+        self.on_message(message)
+        return []
+
+    def lose(self, connection: str) -> None:
+        """Take in that a connection ended; the links that dial tell who lives."""
--- a/packages/cassiahaven-entry/cassiahaven_entry/peer_link.py
+++ b/packages/cassiahaven-entry/cassiahaven_entry/peer_link.py
@@ -1,13 +1,8 @@
 """The end of a peer link that dials: it subscribes and asks questions."""
 
-from collections.abc import Iterator
-from contextlib import contextmanager
 from itertools import count
 
-import eventlet
 from eventlet.event import Event
-from websockets.exceptions import InvalidStatus
-from websockets.sync.client import ClientConnection, connect
 
 from cassiahaven_core.idempotency import PeerReply, ScopedKey
 from cassiahaven_core.peer_message import (
@@ -15,31 +10,20 @@
     Introduction,
     KeyQuestion,
     KeyReply,
-    MalformedMessage,
     PeerMessage,
     RevisionsRequest,
     TableRequest,
-    decode,
-    encode,
     revision_digest,
 )
 from cassiahaven_core.steering import EntryAddress
 from cassiahaven_entry.clock import MS_PER_S, now_ms
-from cassiahaven_entry.event import LogEvent, log
-from cassiahaven_entry.peer_handler import (
-    CLOSE_TIMEOUT_S,
-    CLUSTER_HEADER,
-    CONNECTION_ERRORS,
-    LARGEST_MESSAGE_BYTES,
-    OPEN_TIMEOUT_S,
-    PeerHandler,
-)
+from cassiahaven_entry.peer_dialer import PeerDialer
+from cassiahaven_entry.peer_handler import PeerHandler
 
 PEER_LIFETIME_MS = 3500.0
-RECONNECT_DELAY_MS = 200.0
 
 
-class PeerLink:
+class PeerLink(PeerDialer):
     """Subscribe to one peer, as long as this task runs.
 
     Args:
@@ -50,54 +34,21 @@
     def __init__(
         self, name: str, url: str, *, cluster: str, key: str, handler: PeerHandler
     ) -> None:
-        self.name = name
-        self.url = url
+        super().__init__(name, url, cluster=cluster, key=key)
         self.entry: EntryAddress | None = None
         self.revision_by_service: dict[str, int] = {}
         self.demand_by_service: dict[str, float] = {}
         self.heard_ms = float("-inf")
         self._digest = revision_digest({})
-        self._headers = {"Authorization": f"Bearer {key}", CLUSTER_HEADER: cluster}
         self._handler = handler
-        self._connection: ClientConnection | None = None
         self._event_by_question: dict[int, Event] = {}
         self._question_numbers = count()
-        self._is_closed = False
 
     @property
     def is_live(self) -> bool:
         """Tell whether the peer is connected and was heard within its lifetime."""
         return self._connection is not None and now_ms() - self.heard_ms < PEER_LIFETIME_MS
 
-    def run(self) -> None:
-        """Connect again and again until the link is closed."""
-        while not self._is_closed:
-            try:
-                self._connect()
-            except InvalidStatus as error:
-                log(LogEvent.PEER_LOST, peer=self.name, error=str(error))
-            except MalformedMessage as error:
-                log(LogEvent.PEER_MESSAGE_MALFORMED, peer=self.name, error=str(error))
-            except CONNECTION_ERRORS:
-                pass
-            eventlet.sleep(RECONNECT_DELAY_MS / MS_PER_S)
-
-    def close(self) -> None:
-        """End the link."""
-        self._is_closed = True
-        if self._connection is not None:
-            self._connection.close()
-
-    def send(self, message: PeerMessage) -> bool:
-        """Send ``message`` and tell whether it left this process."""
-        if self._connection is None:
-            return False
-        try:
-            self._connection.send(encode(message))
-        except CONNECTION_ERRORS:
-            return False
-        return True
-
     def ask(
         self, scoped: ScopedKey, fingerprint: str, process: str, timeout_ms: float
     ) -> PeerReply | None:
@@ -115,36 +66,17 @@
         finally:
             self._event_by_question.pop(number, None)
 
-    def _connect(self) -> None:
-        with (
-            connect(
-                self.url,
-                additional_headers=self._headers,
-                compression=None,
-                proxy=None,
-                max_size=LARGEST_MESSAGE_BYTES,
-                open_timeout=OPEN_TIMEOUT_S,
-                close_timeout=CLOSE_TIMEOUT_S,
-            ) as connection,
-            self._connected(connection),
-        ):
-            for data in connection:
-                self._receive(decode(data))
+    def _on_failure(self, error: Exception) -> None:
+        pass
 
-    @contextmanager
-    def _connected(self, connection: ClientConnection) -> Iterator[None]:
-        self._connection = connection
+    def _on_connected(self) -> None:
         self.revision_by_service = {}
         self._digest = revision_digest({})
-        log(LogEvent.PEER_CONNECTED, peer=self.name)
-        try:
-            yield
-        finally:
-            self._connection = None
-            for event in list(self._event_by_question.values()):
-                if not event.ready():
-                    event.send(None)
-            log(LogEvent.PEER_LOST, peer=self.name)
+
+    def _on_disconnected(self) -> None:
+        for event in list(self._event_by_question.values()):
+            if not event.ready():
+                event.send(None)
 
     def _receive(self, message: PeerMessage) -> None:
         self.heard_ms = now_ms()
--- a/packages/cassiahaven-entry/cassiahaven_entry/peer_server.py
+++ b/packages/cassiahaven-entry/cassiahaven_entry/peer_server.py
@@ -7,12 +7,8 @@
 from websockets.sync.server import ServerConnection, serve
 
 from cassiahaven_core.peer_message import (
-    KeyQuestion,
-    KeyReply,
     MalformedMessage,
     PeerMessage,
-    RevisionsRequest,
-    TableRequest,
     decode,
     encode,
 )
@@ -24,7 +20,7 @@
     CONNECTION_ERRORS,
     LARGEST_MESSAGE_BYTES,
     OPEN_TIMEOUT_S,
-    PeerHandler,
+    PeerSubscribers,
 )
 
 
@@ -34,6 +30,8 @@
     Args:
         host: Address to listen on.
         port: Port to listen on.
+        handler: What subscribers are told.
+        options: Further options of the websocket server.
         cluster: Name that peers must give.
         key: Shared key that peers must give.
     """
@@ -45,8 +43,9 @@
         *,
         cluster: str,
         key: str,
-        handler: PeerHandler,
+        handler: PeerSubscribers,
         metrics: Metrics,
+        **options: float | None,
     ) -> None:
         self._cluster = cluster
         self._authorization = f"Bearer {key}"
@@ -62,6 +61,7 @@
             max_size=LARGEST_MESSAGE_BYTES,
             open_timeout=OPEN_TIMEOUT_S,
             close_timeout=CLOSE_TIMEOUT_S,
+            **options,
         )
 
     def run(self) -> None:
@@ -107,22 +107,13 @@
             log(LogEvent.PEER_MESSAGE_MALFORMED, error=str(error))
         finally:
             self._subscribers.discard(connection)
+            self._handler.lose(str(connection.id))
 
     def _receive(self, connection: ServerConnection, data: bytes | str) -> None:
         if isinstance(data, str):
             raise MalformedMessage("text instead of CBOR")
-        message = decode(data)
-        match message:
-            case KeyQuestion(question=question):
-                reply = KeyReply(question, self._handler.answer_question(message))
-                self._send(connection, "KeyReply", encode(reply))
-            case RevisionsRequest():
-                self._send(connection, "Heartbeat", encode(self._handler.full_heartbeat()))
-            case TableRequest(service=service):
-                rows = self._handler.table_rows(service)
-                self._send(connection, "TableRows", encode(rows))
-            case _:
-                self._handler.on_message(message)
+        for reply in self._handler.receive(str(connection.id), decode(data)):
+            self._send(connection, type(reply).__name__, encode(reply))
 
     def _send(self, connection: ServerConnection, kind: str, data: bytes) -> None:
         self._metrics.peer_bytes.labels(kind).inc(len(data))
--- /dev/null
+++ b/packages/cassiahaven-entry/cassiahaven_entry/routed_node.py
@@ -0,0 +1,358 @@
+"""The parts of an entry that learns routes and endpoints from its fleet's store."""
+
+import secrets
+from collections.abc import Iterable, Iterator
+from contextlib import contextmanager
+
+import eventlet
+from eventlet.greenthread import GreenThread
+
+from cassiahaven_core.edge import StoreUnavailable, Topic
+from cassiahaven_core.finding import InvalidDocument
+from cassiahaven_core.membership import Fleet, Member
+from cassiahaven_core.peer_message import CrashNotice, DrainNotice, WatcherReport
+from cassiahaven_core.pool import EndpointAddress
+from cassiahaven_core.quarantine import Quarantine
+from cassiahaven_core.registry import Registration
+from cassiahaven_core.retry import RetryTerms
+from cassiahaven_core.route import GatewayConfig, RoutingTable
+from cassiahaven_core.routed_settings import RoutedSettings
+from cassiahaven_entry.adapter import PlatformAdapter
+from cassiahaven_entry.attempts import AttemptRunner
+from cassiahaven_entry.clock import MS_PER_S, now_ms
+from cassiahaven_entry.event import LogEvent, log
+from cassiahaven_entry.fleet_links import FleetLinks, FleetState
+from cassiahaven_entry.fleet_view import FleetView
+from cassiahaven_entry.gateway import HttpFrontend
+from cassiahaven_entry.http_transport import HttpTransport
+from cassiahaven_entry.metrics import Metrics
+from cassiahaven_entry.routed_calls import RoutedCalls
+from cassiahaven_entry.service_task import ServiceTask
+from cassiahaven_entry.side_server import SideServer
+from cassiahaven_entry.store_feed import StoreFeed
+from cassiahaven_entry.supervisor import spawn_supervised
+
+PROCESS_NAME_BYTES = 6
+TICK_INTERVAL_MS = 20.0
+HOUSEKEEPING_INTERVAL_MS = 250.0
+SETTINGS_INTERVAL_MS = 1000.0
+REGISTER_RETRY_MS = 700.0
+STOP_POLL_MS = 20.0
+CLOSE_BEFORE_KILL_MS = 1600.0  # idle connections close while there is time for the last calls
+EXIT_BEFORE_KILL_MS = 250.0
+OTHER_ZONE_MS = 1.0  # one way; zones of a region are a few milliseconds apart at the most
+OTHER_REGION_MS = 30.0
+CARRIERS_PER_ZONE = 1  # more of them know less of the endpoints each, see decision 001
+RETRY_SHARE_USED = 0.8  # the bound is judged on windows that end between our buckets
+PROBE_SHARE = 0.25  # of what an endpoint may get: other zones' carriers probe it too
+PEER_KEY = "fleet"  # entries meet on a network that nobody else reaches
+
+
+class RoutedNode:
+    """Hold the parts of the process.
+
+    Args:
+        settings: Checked settings.
+        adapter: Way of speaking with the platform.
+        metrics: Counters.
+    """
+
+    def __init__(
+        self, settings: RoutedSettings, adapter: PlatformAdapter, metrics: Metrics
+    ) -> None:
+        self.settings = settings
+        self.is_draining = False
+        self._is_ready = False
+        self._adapter = adapter
+        self._metrics = metrics
+        self._task_by_service: dict[str, ServiceTask] = {}
+        self._registrations: list[Registration] = []
+        self._live: set[str] = set()
+        self.process = f"{settings.name}-{secrets.token_hex(PROCESS_NAME_BYTES)}"
+        self.member = Member(
+            settings.name,
+            self.process,
+            settings.availability_zone,
+            str(settings.callers),
+            str(settings.peers),
+        )
+        self._build_fleet()
+        self._build_calls()
+
+    @property
+    def is_ready(self) -> bool:
+        """Tell whether this entry may be given callers."""
+        return not self.is_draining and bool(self.routing.version) and self.view.has_endpoints
+
+    def _build_fleet(self) -> None:
+        self.fleet = Fleet(self.member)
+        self.routing = RoutingTable()
+        self.view = FleetView(
+            self.fleet,
+            self.routing,
+            on_config=self._on_config,
+            on_endpoints=self._on_endpoints,
+            on_members=self._on_members,
+        )
+        state = FleetState(
+            report=self._report,
+            versions=self.view.versions,
+            news=self.view.news,
+            on_news=self.view.take_news,
+            on_crash=self._on_crash,
+        )
+        self.links = FleetLinks(self.fleet, state, key=PEER_KEY, metrics=self._metrics)
+        self.store = self._adapter.make_store(self.settings, self._metrics)
+        self.feed = StoreFeed(
+            self.store,
+            is_wanted=self._is_watching,
+            on_changes=self.view.take_changes,
+            on_store=self.view.note_store,
+        )
+
+    def _build_calls(self) -> None:
+        dialect = self._adapter.make_upstream_dialect()
+        callers = self._adapter.make_caller_dialect(self.routing)
+        self.quarantine = Quarantine()
+        self.transport = HttpTransport(dialect)
+        attempts = AttemptRunner(
+            self.transport,
+            dialect,
+            self.quarantine,
+            metrics=self._metrics,
+            on_drain=self._on_drain,
+            on_crash=self._publish_crash,
+        )
+        self.calls = RoutedCalls(
+            self.process,
+            self.routing,
+            self.task,
+            attempts,
+            callers,
+            metrics=self._metrics,
+        )
+        callers_at = self.settings.callers
+        self.frontend = HttpFrontend(callers_at.host, callers_at.port, dialect=callers)
+        self.side_servers = [
+            SideServer(
+                self.settings.readiness,
+                lambda environ: self._adapter.answer_readiness(environ, self.is_ready),
+            ),
+            SideServer(self.settings.directory, self._answer_directory),
+            SideServer.for_metrics(
+                self.settings.callers.host, self.settings.metrics_port, self._metrics
+            ),
+        ]
+
+    def task(self, service: str) -> ServiceTask:
+        """Return the owner of a service's policy."""
+        task = self._task_by_service.get(service)
+        if task is None:
+            task = ServiceTask(service, self.settings.availability_zone)
+            self._task_by_service[service] = task
+            task.policy.retry_budget.terms = self._retry_terms()
+            task.policy.probes_per_s = self.settings.probes_per_s * PROBE_SHARE
+            self._set_endpoints(service, task)
+        return task
+
+    def start(self) -> list[GreenThread]:
+        """Start all tasks of the node."""
+        runs = {
+            "links served": self.links.serve,
+            "links": self.links.run,
+            "registration": self._register,
+            "store check": self.feed.check,
+            "housekeeping": self._keep_house,
+            "settings": self._watch_settings,
+            "ticks": self._tick_services,
+            "callers": lambda: self.frontend.serve(self.calls.run),
+        }
+        runs |= {f"store {topic.value}": lambda t=topic: self.feed.follow(t) for topic in Topic}
+        runs |= {f"side server {n}": item.run for n, item in enumerate(self.side_servers)}
+        return [spawn_supervised(name, run) for name, run in runs.items()]
+
+    def stop(self) -> None:
+        """Shut down gracefully: leave the addresses, serve on, close, finish calls in flight."""
+        log(LogEvent.ENTRY_STOPPING, process=self.process)
+        started_ms = now_ms()
+        self.is_draining = True
+        self.frontend.is_closing = True
+        self.fleet.draining.add(self.settings.name)
+        self.links.publish_report()
+        for link in self.links.link_by_name.values():
+            link.report(True)
+        close_at_ms = started_ms + self.settings.stop_ms - CLOSE_BEFORE_KILL_MS
+        eventlet.sleep(max(0.0, close_at_ms - now_ms()) / MS_PER_S)
+        self.frontend.stop()
+        give_up_ms = started_ms + self.settings.stop_ms - EXIT_BEFORE_KILL_MS
+        while self.frontend.in_flight and now_ms() < give_up_ms:
+            eventlet.sleep(STOP_POLL_MS / MS_PER_S)
+        log(LogEvent.ENTRY_STOPPED, process=self.process, cut=self.frontend.in_flight)
+
+    def close(self) -> None:
+        """Drop all links."""
+        self.links.close()
+
+    def reload(self) -> None:
+        """Read the settings again; what cannot be read changes nothing."""
+        try:
+            settings = self._adapter.read_settings()
+        except InvalidDocument as error:
+            log(LogEvent.SETTINGS_INVALID, findings=str(error))
+            return
+        self.settings = settings
+        for task in self._task_by_service.values():
+            task.policy.retry_budget.terms = self._retry_terms()
+        log(LogEvent.SETTINGS_RELOADED, process=self.process)
+
+    def _answer_directory(self, environ: dict) -> object:
+        return self._adapter.answer_directory(
+            environ, self._carriers, self.settings.address_lifetime_ms
+        )
+
+    def _carriers(self, host: str, zone: str) -> list[Member]:
+        if not self.is_ready and not self.is_draining:
+            return []
+        return self.fleet.carriers(host, zone, CARRIERS_PER_ZONE, now_ms())
+
+    def _report(self) -> WatcherReport:
+        return WatcherReport(
+            live=self.fleet.own_subscribers(now_ms()),
+            draining=sorted(self.fleet.draining),
+            store_age_ms=min(self.feed.age_ms, 1e9),
+            version_by_topic=self.view.versions(),
+        )
+
+    def _is_watching(self) -> bool:
+        if self.is_draining and not self.links.has_subscribers:
+            return not self.fleet.has_fresh_store_view(now_ms())
+        is_watcher = any(member.name == self.settings.name for member in self.fleet.watchers())
+        return (
+            is_watcher
+            or self.links.has_subscribers
+            or not self.fleet.has_fresh_store_view(now_ms())
+        )
+
+    def _on_config(self, config: GatewayConfig) -> None:
+        for spec in config.service_by_name.values():
+            self.task(spec.name).health_path = spec.health_path
+        self.links.publish_report()
+
+    def _on_endpoints(self, registrations: Iterable[Registration]) -> None:
+        self._registrations = list(registrations)
+        for service, task in self._task_by_service.items():
+            self._set_endpoints(service, task)
+        listed = {(item.endpoint, item.incarnation) for item in self._registrations}
+        self.transport.forget(listed)
+        self.links.publish_report()
+
+    def _on_members(self) -> None:
+        for task in self._task_by_service.values():
+            task.policy.retry_budget.terms = self._retry_terms()
+        self.links.publish_report()
+
+    def _set_endpoints(self, service: str, task: ServiceTask) -> None:
+        registrations = [item for item in self._registrations if item.service == service]
+        task.set_endpoints([self._address(item) for item in registrations])
+        for item in registrations:
+            if item.is_draining:
+                task.drain(item.endpoint, item.incarnation, "registration")
+
+    def _address(self, item: Registration) -> EndpointAddress:
+        distance_ms = 0.0
+        if item.availability_zone != self.settings.availability_zone:
+            regions = self.settings.region_by_zone
+            own_region = regions.get(self.settings.availability_zone)
+            is_same = regions.get(item.availability_zone) == own_region
+            distance_ms = OTHER_ZONE_MS if is_same else OTHER_REGION_MS
+        return EndpointAddress(
+            item.endpoint,
+            item.incarnation,
+            item.availability_zone,
+            item.host,
+            item.port,
+            item.slots,
+            distance_ms,
+        )
+
+    def _retry_terms(self) -> RetryTerms:
+        return RetryTerms(
+            share=self.settings.retry_share * RETRY_SHARE_USED,
+            slack=self.settings.retry_slack / max(1, len(self.fleet.member_by_name)),
+            window_ms=self.settings.retry_window_ms,
+        )
+
+    def _on_drain(self, notice: DrainNotice) -> None:
+        task = self._task_by_service.get(notice.service)
+        if task is not None:
+            task.drain(notice.endpoint, notice.incarnation, notice.reason)
+
+    def _publish_crash(self, notice: CrashNotice) -> None:
+        log(
+            LogEvent.CRASH_RECORDED,
+            fingerprint=notice.fingerprint,
+            incarnation=notice.incarnation,
+        )
+        self.links.publish(notice)
+
+    def _on_crash(self, notice: CrashNotice) -> None:
+        self.quarantine.record(notice.fingerprint, notice.incarnation, now_ms())
+
+    def _register(self) -> None:
+        while True:
+            try:
+                self.store.register(self.member)
+            except StoreUnavailable as error:
+                self.feed.note(False, f"registration: {error}")
+                eventlet.sleep(REGISTER_RETRY_MS / MS_PER_S)
+            else:
+                self.feed.note(True)
+                return
+
+    def _keep_house(self) -> None:
+        while True:
+            news = self.view.expire()
+            if news is not None:
+                self.links.publish(news)
+            self._note_beliefs()
+            eventlet.sleep(HOUSEKEEPING_INTERVAL_MS / MS_PER_S)
+
+    def _note_beliefs(self) -> None:
+        live = self.fleet.live_names(now_ms())
+        if live != self._live:
+            log(
+                LogEvent.LIVE_ENTRIES_CHANGED,
+                joined=sorted(live - self._live),
+                lost=sorted(self._live - live),
+                live=len(live),
+            )
+            self._live = live
+        if self.is_ready != self._is_ready:
+            self._is_ready = self.is_ready
+            log(LogEvent.READINESS_CHANGED, ready=self._is_ready, version=self.routing.version)
+
+    def _watch_settings(self) -> None:
+        while True:
+            eventlet.sleep(SETTINGS_INTERVAL_MS / MS_PER_S)
+            if self._adapter.settings_changed():
+                self.reload()
+
+    def _tick_services(self) -> None:
+        while True:
+            for task in list(self._task_by_service.values()):
+                if task.policy.admission.waiting:
+                    task.tick()
+            eventlet.sleep(TICK_INTERVAL_MS / MS_PER_S)
+
+
+@contextmanager
+def running(node: RoutedNode) -> Iterator[RoutedNode]:
+    """Run all tasks of ``node`` until the block ends."""
+    tasks = node.start()
+    log(LogEvent.ENTRY_STARTED, process=node.process, cluster="fleet")
+    try:
+        yield node
+    finally:
+        node.close()
+        for task in tasks:
+            task.kill()
--- a/packages/cassiahaven-entry/cassiahaven_entry/service_task.py
+++ b/packages/cassiahaven-entry/cassiahaven_entry/service_task.py
@@ -4,9 +4,16 @@
 
 from cassiahaven_core.admission import Admission, Waiting
 from cassiahaven_core.lifecycle import EndpointEvent
-from cassiahaven_core.pool import CallResult, EndpointAddress, Pool, SlotShare
+from cassiahaven_core.pool import (
+    CallResult,
+    EndpointAddress,
+    LoadReport,
+    Pool,
+    ProbeFailed,
+    SlotShare,
+)
 from cassiahaven_core.reason import RefusalReason, RetryReason
-from cassiahaven_core.service import Effect, Refuse, ServicePolicy
+from cassiahaven_core.service import Dispatch, Effect, Refuse, ServicePolicy
 from cassiahaven_core.table import CellValue, ServiceTable
 from cassiahaven_entry.clock import MS_PER_S, now_ms
 from cassiahaven_entry.event import LogEvent, log
@@ -29,6 +36,7 @@
         self.service = service
         self.policy = ServicePolicy(service, Pool(), Admission())
         self.demand_per_s = 0.0
+        self.health_path = ""
         self._availability_zone = availability_zone
         self._table = ServiceTable(service)
         self._event_by_call: dict[str, Event] = {}
@@ -42,6 +50,12 @@
             self._put_limits_in_force(call.partner)
         return self._wait(call, self.policy.arrive(call, now_ms()))
 
+    def measured(
+        self, call: Waiting, endpoint: str, report: LoadReport | ProbeFailed
+    ) -> Dispatch | None:
+        """Report a probe of the endpoint that a call is about to go to; see the policy."""
+        return self.policy.measured(call, endpoint, report, now_ms())
+
     def finish(self, call: Waiting, endpoint: str, result: CallResult) -> None:
         """Report the end of a call at an endpoint."""
         before = self._status_of(endpoint)
@@ -123,14 +137,25 @@
         event = Event()
         self._event_by_call[call.call_id] = event
         self._deliver(effects)
-        if not event.ready():
-            event.wait(timeout=max(0.0, call.deadline_ms - now_ms()) / MS_PER_S)
+        try:
+            if not event.ready():
+                event.wait(timeout=max(0.0, call.deadline_ms - now_ms()) / MS_PER_S)
+        except BaseException:
+            self._abandon(call, event)
+            raise
         # An effect may be sent after the timer fired but before this task ran again.
         if event.ready():
             return event.wait()
+        self._abandon(call, event)
+        return Refuse(call.call_id, RefusalReason.DEADLINE_EXCEEDED)
+
+    def _abandon(self, call: Waiting, event: Event) -> None:
         self._event_by_call.pop(call.call_id, None)
         self.policy.admission.withdraw(call)
-        return Refuse(call.call_id, RefusalReason.DEADLINE_EXCEEDED)
+        if event.ready():
+            effect = event.wait()
+            if isinstance(effect, Dispatch):
+                self.finish(call, effect.address.endpoint, CallResult.CANCELLED)
 
     def _deliver(self, effects: list[Effect]) -> None:
         for effect in effects:
--- /dev/null
+++ b/packages/cassiahaven-entry/cassiahaven_entry/side_server.py
@@ -0,0 +1,56 @@
+"""Small HTTP servers beside the callers': readiness, directory, metrics."""
+
+from collections.abc import Callable, Iterable
+
+import eventlet
+from eventlet import wsgi
+
+from cassiahaven_core.edge import CallResponse
+from cassiahaven_core.routed_settings import SocketAddress
+from cassiahaven_entry.caller_dialect import Environ
+from cassiahaven_entry.metrics import Metrics
+
+SOCKET_TIMEOUT_S = 5.0  # questions are one small packet each
+LARGEST_CONNECTION_COUNT = 256
+BACKLOG = 512
+
+
+class SideServer:
+    """Answer each request with a function that does not wait.
+
+    Args:
+        address: Where to listen.
+        answer: Returns the answer to a request.
+    """
+
+    def __init__(self, address: SocketAddress, answer: Callable[[Environ], CallResponse]) -> None:
+        self._answer = answer
+        self._socket = eventlet.listen(
+            (address.host, address.port), backlog=BACKLOG, reuse_port=False
+        )
+        self._pool = eventlet.GreenPool(LARGEST_CONNECTION_COUNT)
+
+    @classmethod
+    def for_metrics(cls, host: str, port: int, metrics: Metrics) -> "SideServer":
+        """Return a server of the metrics."""
+        headers = (("Content-Type", "text/plain; version=0.0.4; charset=utf-8"),)
+        address = SocketAddress(host, port)
+        return cls(address, lambda _: CallResponse(200, headers, iter((metrics.text(),))))
+
+    def run(self) -> None:
+        """Serve until the process ends."""
+        wsgi.server(
+            self._socket,
+            self._application,
+            custom_pool=self._pool,
+            log_output=False,
+            debug=False,
+            socket_timeout=SOCKET_TIMEOUT_S,
+        )
+
+    def _application(self, environ: Environ, start_response: Callable) -> Iterable[bytes]:
+        response = self._answer(environ)
+        body = b"".join(response.body)
+        headers = [*response.headers, ("Content-Length", str(len(body)))]
+        start_response(f"{response.status} {'OK' if response.status < 400 else 'Refused'}", headers)
+        return [body]
--- /dev/null
+++ b/packages/cassiahaven-entry/cassiahaven_entry/store_feed.py
@@ -0,0 +1,119 @@
+"""Reads and watches the fleet's store while this entry is a watcher."""
+
+from collections.abc import Callable
+
+import eventlet
+
+from cassiahaven_core.edge import (
+    FleetChange,
+    FleetChanges,
+    FleetStore,
+    HistoryGone,
+    StoreUnavailable,
+    Topic,
+)
+from cassiahaven_entry.clock import MS_PER_S, now_ms
+from cassiahaven_entry.event import LogEvent, log
+
+WATCH_WAIT_MS = 20_000  # each return costs a call; the checks below tell a dead watch
+CHECK_INTERVAL_MS = 700.0  # two checks missed leave time for another entry to take over
+IDLE_INTERVAL_MS = 100.0
+
+
+class StoreFeed:
+    """Follow all topics of the store, as long as this entry is asked to.
+
+    Args:
+        store: The fleet's store.
+        is_wanted: Tells whether this entry is to follow the store.
+        on_changes: Called with what was read.
+        on_store: Called when the store went away or came back.
+    """
+
+    def __init__(
+        self,
+        store: FleetStore,
+        *,
+        is_wanted: Callable[[], bool],
+        on_changes: Callable[[Topic, FleetChanges], None],
+        on_store: Callable[[bool], None],
+    ) -> None:
+        self.seen_ms = float("-inf")
+        self.is_available = True
+        self._store = store
+        self._is_wanted = is_wanted
+        self._on_changes = on_changes
+        self._on_store = on_store
+
+    @property
+    def age_ms(self) -> float:
+        """Return the time since the store's last answer, milliseconds."""
+        return now_ms() - self.seen_ms
+
+    def follow(self, topic: Topic) -> None:
+        """Read and then watch ``topic`` for ever."""
+        revision: int | None = None
+        while True:
+            if not self._is_wanted():
+                revision = None
+                eventlet.sleep(IDLE_INTERVAL_MS / MS_PER_S)
+                continue
+            if not self.is_available:
+                # One cheap question tells for all topics when the store is back.
+                eventlet.sleep(IDLE_INTERVAL_MS / MS_PER_S)
+                continue
+            try:
+                changes = self._next(topic, revision)
+            except HistoryGone:
+                log(LogEvent.STORE_HISTORY_GONE, topic=topic.value, revision=revision)
+                revision = None
+                continue
+            except StoreUnavailable as error:
+                self.note(False, f"{topic.value}: {error}")
+                continue
+            self.note(True)
+            revision = changes.revision
+            self._report_findings(topic, changes.changes)
+            self._on_changes(topic, changes)
+
+    def check(self) -> None:
+        """Ask the store now and then whether it still answers, for ever.
+
+        A watch that waits looks the same as one whose connection is dead.
+        """
+        while True:
+            eventlet.sleep(CHECK_INTERVAL_MS / MS_PER_S)
+            if not self._is_wanted() or self.age_ms < CHECK_INTERVAL_MS:
+                continue
+            try:
+                self._store.check()
+            except StoreUnavailable as error:
+                self.note(False, str(error))
+            else:
+                self.note(True)
+
+    def note(self, is_available: bool, detail: str = "") -> None:
+        """Take in whether the store answered."""
+        if is_available:
+            self.seen_ms = now_ms()
+        if is_available == self.is_available:
+            return
+        self.is_available = is_available
+        event = LogEvent.STORE_AVAILABLE if is_available else LogEvent.STORE_UNAVAILABLE
+        log(event, detail=detail)
+        self._on_store(is_available)
+
+    def _next(self, topic: Topic, revision: int | None) -> FleetChanges:
+        if revision is None:
+            return self._store.read(topic)
+        return self._store.watch(topic, revision=revision, wait_ms=WATCH_WAIT_MS)
+
+    def _report_findings(self, topic: Topic, changes: list[FleetChange]) -> None:
+        for change in changes:
+            if change.finding:
+                log(
+                    LogEvent.STORE_ENTRY_MALFORMED,
+                    topic=topic.value,
+                    name=change.name,
+                    finding=change.finding,
+                )
--- a/packages/cassiahaven-entry/tests/test_attempts.py
+++ b/packages/cassiahaven-entry/tests/test_attempts.py
@@ -18,7 +18,7 @@
 from cassiahaven_entry import attempts as attempts_module
 from cassiahaven_entry.attempts import AttemptRunner
 from cassiahaven_entry.call import Call
-from cassiahaven_entry.header_signals import HeaderSignals
+from cassiahaven_entry.header_dialect import HeaderDialect
 from cassiahaven_entry.metrics import Metrics
 from cassiahaven_entry.service_task import ServiceTask
 
@@ -42,8 +42,15 @@
         return self.name
 
 
+def read_signal(headers):
+    value_by_name = {name.lower(): value for name, value in headers}
+    return HeaderDialect().read_head(200, value_by_name, None)
+
+
 def answer(status, body=None, headers=()):
-    return UpstreamAnswer(status, headers, body or iter([b"whole"]), lambda: None)
+    return UpstreamAnswer(
+        status, headers, body or iter([b"whole"]), lambda: None, read_signal(headers)
+    )
 
 
 ENDINGS = [
@@ -79,14 +86,14 @@
         )
         runner = AttemptRunner(
             transport,
-            HeaderSignals(),
+            HeaderDialect(),
             Quarantine(),
             metrics=Metrics(),
             on_drain=lambda notice: None,
             on_crash=lambda notice: None,
         )
         request = CallRequest("lookup", method, "/x", (), b"", None, None, None)
-        finished = runner.run(Call(request, SERVICE, "parish", "call-1"), task)
+        finished = runner.run(Call.to_service(request, SERVICE, "parish", "call-1"), task)
         assert all(not item.in_flight for item in task.policy.pool.endpoint_by_id.values())
         return finished
 
--- a/packages/cassiahaven-entry/tests/test_http_transport.py
+++ b/packages/cassiahaven-entry/tests/test_http_transport.py
@@ -7,6 +7,7 @@
 
 from cassiahaven_core.edge import SendFailed, TransferBroken, UpstreamRequest
 from cassiahaven_core.pool import CallResult, EndpointAddress
+from cassiahaven_entry.header_dialect import HeaderDialect
 from cassiahaven_entry.http_transport import HttpTransport
 
 WHOLE = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
@@ -49,7 +50,7 @@
 
 def test_stale_connection_never_carries_a_non_idempotent_call():
     upstream = RawUpstream([WHOLE], [WHOLE])
-    transport = HttpTransport()
+    transport = HttpTransport(HeaderDialect())
     first = transport.send(upstream.address, request(idempotent=True), 1000)
     assert b"".join(first.body) == b"ok"
     second = transport.send(upstream.address, request(idempotent=False), 1000)
@@ -62,12 +63,20 @@
     upstream = RawUpstream([answer])
     headers = (("X-Tag", "one"), ("X-Tag", "two"))
     call = UpstreamRequest("GET", "/x", headers, b"", True)
-    sent = HttpTransport().send(upstream.address, call, 1000)
+    sent = HttpTransport(HeaderDialect()).send(upstream.address, call, 1000)
     assert [value for name, value in sent.headers if name == "Set-Cookie"] == ["a", "b"]
     assert b"X-Tag: one" in upstream.requests[0]
     assert b"X-Tag: two" in upstream.requests[0]
 
 
+@pytest.mark.parametrize("target", ["/a%2fb/%7e", "//double", "/x?q=%2F&r=a+b", "/caf%c3%a9"])
+def test_target_reaches_the_upstream_as_the_caller_wrote_it(target):
+    upstream = RawUpstream([WHOLE])
+    call = UpstreamRequest("GET", target, (), b"", True)
+    HttpTransport(HeaderDialect()).send(upstream.address, call, 1000)
+    assert upstream.requests[0].startswith(f"GET {target} HTTP/1.1\r\n".encode())
+
+
 @pytest.mark.parametrize(
     "answer",
     [
@@ -78,7 +87,7 @@
 )
 def test_short_body_raises(answer):
     upstream = RawUpstream([answer])
-    sent = HttpTransport().send(upstream.address, request(idempotent=True), 1000)
+    sent = HttpTransport(HeaderDialect()).send(upstream.address, request(idempotent=True), 1000)
     with pytest.raises(TransferBroken):
         b"".join(sent.body)
 
@@ -95,7 +104,7 @@
 )
 def test_answer_without_a_whole_head_or_a_length_means_unknown(answer):
     upstream = RawUpstream([answer])
-    sent = HttpTransport().send(upstream.address, request(idempotent=True), 1000)
+    sent = HttpTransport(HeaderDialect()).send(upstream.address, request(idempotent=True), 1000)
     assert isinstance(sent, SendFailed)
     assert sent.result is CallResult.CONNECTION_LOST
 
@@ -104,7 +113,7 @@
     with socket.create_server(("127.0.0.1", 0)) as listener:
         port = listener.getsockname()[1]
     address = EndpointAddress("e", "1", "zone-a", "127.0.0.1", port, 1)
-    sent = HttpTransport().send(address, request(idempotent=False), 1000)
+    sent = HttpTransport(HeaderDialect()).send(address, request(idempotent=False), 1000)
     assert sent.result is CallResult.CONNECT_FAILED
 
 
@@ -112,5 +121,5 @@
     upstream = RawUpstream(
         [b"HTTP/1.1 503 Busy\r\nUpstream-Not-Run: 1\r\nContent-Length: 0\r\n\r\n"]
     )
-    sent = HttpTransport().send(upstream.address, request(idempotent=False), 1000)
+    sent = HttpTransport(HeaderDialect()).send(upstream.address, request(idempotent=False), 1000)
     assert sent.result is CallResult.REFUSED
