--- a/packages/cassiahaven-entry/tests/test_http_transport.py
+++ b/packages/cassiahaven-entry/tests/test_http_transport.py
@@ -1,12 +1,14 @@
 """Sends over real sockets, against an upstream that misbehaves on purpose."""
 
 import socket
+import struct
 import threading
 
 import pytest
 
 from cassiahaven_core.edge import SendFailed, TransferBroken, UpstreamRequest
 from cassiahaven_core.pool import CallResult, EndpointAddress
+from cassiahaven_entry._connection import ResetTellingSocket
 from cassiahaven_entry.header_dialect import HeaderDialect
 from cassiahaven_entry.http_transport import HttpTransport
 
@@ -123,3 +125,23 @@
     )
     sent = HttpTransport(HeaderDialect()).send(upstream.address, request(idempotent=False), 1000)
     assert sent.result is CallResult.REFUSED
+
+
+def read_to_the_end(*, resets):
+    listener = socket.create_server(("127.0.0.1", 0))
+    plain = socket.create_connection(listener.getsockname())
+    connection, _ = listener.accept()
+    telling = ResetTellingSocket(plain)
+    connection.sendall(b"part of it")
+    received = telling.recv(100)
+    if resets:
+        connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+    connection.close()
+    listener.close()
+    return received + telling.recv(100)
+
+
+def test_answer_without_a_length_that_is_reset_does_not_look_whole():
+    assert read_to_the_end(resets=False) == b"part of it"
+    with pytest.raises(ConnectionResetError):
+        read_to_the_end(resets=True)
