--- a/packages/cassiahaven-entry/cassiahaven_entry/routed_node.py
+++ b/packages/cassiahaven-entry/cassiahaven_entry/routed_node.py
@@ -7,7 +7,7 @@
 import eventlet
 from eventlet.greenthread import GreenThread
 
-from cassiahaven_core.edge import StoreUnavailable, Topic
+from cassiahaven_core.edge import CallResponse, StoreUnavailable, Topic
 from cassiahaven_core.finding import InvalidDocument
 from cassiahaven_core.membership import Fleet, Member
 from cassiahaven_core.peer_message import CrashNotice, DrainNotice, WatcherReport
@@ -19,6 +19,7 @@
 from cassiahaven_core.routed_settings import RoutedSettings
 from cassiahaven_entry.adapter import PlatformAdapter
 from cassiahaven_entry.attempts import AttemptRunner
+from cassiahaven_entry.caller_dialect import Environ
 from cassiahaven_entry.clock import MS_PER_S, now_ms
 from cassiahaven_entry.event import LogEvent, log
 from cassiahaven_entry.fleet_links import FleetLinks, FleetState
@@ -33,6 +34,7 @@
 from cassiahaven_entry.supervisor import spawn_supervised
 
 PROCESS_NAME_BYTES = 6
+OK_STATUS = 200
 TICK_INTERVAL_MS = 20.0
 HOUSEKEEPING_INTERVAL_MS = 250.0
 SETTINGS_INTERVAL_MS = 1000.0
@@ -205,10 +207,20 @@
             task.policy.retry_budget.terms = self._retry_terms()
         log(LogEvent.SETTINGS_RELOADED, process=self.process)
 
-    def _answer_directory(self, environ: dict) -> object:
-        return self._adapter.answer_directory(
+    def _answer_directory(self, environ: Environ) -> CallResponse:
+        response = self._adapter.answer_directory(
             environ, self._carriers, self.settings.address_lifetime_ms
         )
+        if response.status != OK_STATUS:
+            log(
+                LogEvent.DIRECTORY_UNANSWERED,
+                question=environ.get("QUERY_STRING", ""),
+                status=response.status,
+                version=self.routing.version,
+                live=len(self.fleet.live_names(now_ms())),
+                draining=self.is_draining,
+            )
+        return response
 
     def _carriers(self, host: str, zone: str) -> list[Member]:
         if not self.is_ready and not self.is_draining:
