--- a/packages/cassiahaven-core/cassiahaven_core/pool.py
+++ b/packages/cassiahaven-core/cassiahaven_core/pool.py
@@ -24,6 +24,7 @@
 NEARLY_FULL_SHARE = 0.8  # endpoints slow down when more of their slots than this are taken
 NEARLY_FULL_COST = 1.4
 FULL_COST = 4.0  # behind a full endpoint a call waits for about as long as it takes itself, twice
+COST_PER_DISTANCE_MS = 0.4  # a round trip over the shortest calls' 5 ms
 HALF_SLOT = 0.5  # a faded report of others' calls is a fraction
 TIE_BREAK = 0.02
 SHORTEST_USUAL_MS = 0.1
@@ -197,6 +198,10 @@
     Args:
         share: Part of each endpoint's slots that this entry fills before it queues.
         rng: Breaks ties, so that entries do not all prefer the same endpoint.
+
+    Attributes:
+        cost_per_distance_ms: What each millisecond of distance adds to the cost of an endpoint, as
+            a part of the cost of a near one.
     """
 
     __slots__ = (
@@ -207,6 +212,7 @@
         "_ejected",
         "_serving",
         "_usual_slowdown",
+        "cost_per_distance_ms",
     )
 
     def __init__(self, *, share: SlotShare = WHOLE_SHARE, rng: Random | None = None) -> None:
@@ -217,6 +223,7 @@
         self._ejected: set[str] = set()
         self._serving: list[Endpoint] = []
         self._usual_slowdown = 1.0
+        self.cost_per_distance_ms = COST_PER_DISTANCE_MS
 
     def set_endpoints(self, addresses: list[EndpointAddress], now_ms: float) -> None:
         """Take in the listed endpoints; a new incarnation starts without its past."""
@@ -423,7 +430,7 @@
         if endpoint.consecutive_failures:
             # A fast failure frees its slot at once, so an idle look must not draw more work.
             cost *= FAILURE_PENALTY ** min(endpoint.consecutive_failures, MOST_PENALTIES)
-        distance = 2 * endpoint.address.distance_ms / INITIAL_PARTNER_TIME_MS
+        distance = endpoint.address.distance_ms * self.cost_per_distance_ms
         return cost * (1 + TIE_BREAK * self._rng.random() + distance)
 
     def _learn_success(self, endpoint: Endpoint, started: Started, now_ms: float) -> None:
--- a/packages/cassiahaven-entry/cassiahaven_entry/_connection.py
+++ b/packages/cassiahaven-entry/cassiahaven_entry/_connection.py
@@ -42,6 +42,8 @@
         if plain is None:
             return opened
         telling = ResetTellingSocket(plain)
+        # The first wrapper closes the shared socket when it is collected.
+        telling.first_wrapper = opened
         telling.settimeout(opened.gettimeout())
         return telling
 
--- a/packages/cassiahaven-entry/tests/test_http_transport.py
+++ b/packages/cassiahaven-entry/tests/test_http_transport.py
@@ -2,6 +2,8 @@
 
 import socket
 import struct
+import subprocess
+import sys
 import threading
 
 import pytest
@@ -145,3 +147,24 @@
     assert read_to_the_end(resets=False) == b"part of it"
     with pytest.raises(ConnectionResetError):
         read_to_the_end(resets=True)
+
+
+def test_connection_is_used_again_under_the_entrys_hub():
+    upstream = RawUpstream([WHOLE, WHOLE, WHOLE])
+    port = upstream.address.port
+    script = (
+        "import eventlet; eventlet.monkey_patch()\n"
+        "from cassiahaven_core.edge import UpstreamRequest\n"
+        "from cassiahaven_core.pool import EndpointAddress\n"
+        "from cassiahaven_entry.header_dialect import HeaderDialect\n"
+        "from cassiahaven_entry.http_transport import HttpTransport\n"
+        "transport = HttpTransport(HeaderDialect())\n"
+        f"address = EndpointAddress('e', '1', 'z', '127.0.0.1', {port}, 1)\n"
+        "for _ in range(3):\n"
+        "    sent = transport.send(address, UpstreamRequest('GET', '/', (), b'', True), 3000)\n"
+        "    print(b''.join(sent.body))\n"
+    )
+    command = [sys.executable, "-W", "ignore", "-c", script]
+    done = subprocess.run(command, capture_output=True, text=True, check=False, timeout=30)
+    assert done.stdout.splitlines() == ["b'ok'"] * 3, done.stderr
+    assert upstream.connections == 1
