Weigh distance against slow neighbours; rank entries by their cores; short pulses

Distance is now added. Ruled out: waiting at the entry, calls whose VM turns slow on the way (they are as many at far endpoints).

Watchers send a whole report only when something changed. An entry's rank follows its cores, so the largest carry callers; carriers are added until they have 0.8 cores together.

--- a/packages/cassiahaven-core/cassiahaven_core/membership.py
+++ b/packages/cassiahaven-core/cassiahaven_core/membership.py
@@ -19,6 +19,7 @@
         process: Unique name of the process, made anew at each start.
         callers: Address for callers, as host and port.
         peers: Address for other entries, as host and port.
+        cores: Processor time a second that its VM gives it.
     """
 
     name: str
@@ -26,6 +27,7 @@
     availability_zone: str
     callers: str
     peers: str
+    cores: float = 1.0
 
 
 @dataclass(slots=True)
@@ -87,6 +89,13 @@
         for name in self.view_by_watcher[watcher].live - {self.own.name}:
             self._note_draining(name, name in leaving)
 
+    def hear_pulse(self, watcher: str, *, store_age_ms: float, now_ms: float) -> None:
+        """Take in that a watcher lives and that what it said of the fleet still holds."""
+        view = self.view_by_watcher.get(watcher)
+        if view is not None:
+            view.heard_ms = now_ms
+            view.store_seen_ms = now_ms - store_age_ms
+
     def lose_view(self, watcher: str) -> None:
         """Forget what a watcher said: its link is down."""
         self.view_by_watcher.pop(watcher, None)
@@ -110,7 +119,7 @@
     def own_subscribers(self, now_ms: float) -> list[str]:
         """Return the entries that report to this one, itself included."""
         heard = self.heard_ms_by_name.items()
-        return [self.own.name, *(n for n, at_ms in heard if now_ms - at_ms < SILENCE_MS)]
+        return sorted([self.own.name, *(n for n, at_ms in heard if now_ms - at_ms < SILENCE_MS)])
 
     def watchers(self, unreachable: frozenset[str] = frozenset()) -> list[Member]:
         """Return the entries that watch the store for all, at most one a zone.
@@ -127,7 +136,7 @@
         if own_zone in zones[MOST_WATCHERS:]:
             zones = [own_zone, *zones]
         return [
-            self.member_by_name[rank(f"{WATCHER_RANK_KEY}/{zone}", tuple(names_by_zone[zone]))[0]]
+            self.member_by_name[self._ranked(zone, names_by_zone[zone])[0]]
             for zone in zones[:MOST_WATCHERS]
         ]
 
@@ -138,18 +147,27 @@
             for view in self.view_by_watcher.values()
         )
 
-    def carriers(self, host: str, zone: str, count: int, now_ms: float) -> list[Member]:
-        """Return the entries that callers in ``zone`` use for ``host``.
+    def carriers(self, zone: str, cores: float, now_ms: float) -> list[Member]:
+        """Return the entries that callers in ``zone`` use.
 
-        Entries of the callers' zone go first; others take their place when none lives there.
+        As few as possible, so that each sees most of an endpoint's work: the largest first, and
+        further ones until they have ``cores`` together. Entries of the callers' zone go first;
+        others take their place when none lives there.
         """
         live = self.live_names(now_ms) - self.draining
         members = [self.member_by_name[name] for name in live]
-        near = tuple(item.name for item in members if item.availability_zone == zone)
-        far = tuple(item.name for item in members if item.availability_zone != zone)
-        key = f"{WATCHER_RANK_KEY}/{zone}"
-        names = (*rank(key, near), *rank(key, far))[:count]
-        return [self.member_by_name[name] for name in names]
+        near = [item.name for item in members if item.availability_zone == zone]
+        far = [item.name for item in members if item.availability_zone != zone]
+        chosen: list[Member] = []
+        for name in (*self._ranked(zone, near), *self._ranked(zone, far)):
+            if sum(member.cores for member in chosen) >= cores:
+                break
+            chosen.append(self.member_by_name[name])
+        return chosen
+
+    def _ranked(self, zone: str, names: Iterable[str]) -> list[str]:
+        ranked = rank(f"{WATCHER_RANK_KEY}/{zone}", tuple(sorted(names)))
+        return sorted(ranked, key=lambda name: -self.member_by_name[name].cores)
 
     def _note_draining(self, name: str, is_draining: bool) -> None:
         if is_draining:
--- a/packages/cassiahaven-core/cassiahaven_core/peer_message.py
+++ b/packages/cassiahaven-core/cassiahaven_core/peer_message.py
@@ -135,6 +135,13 @@
     version_by_topic: dict[str, int]
 
 
+@dataclass(frozen=True, slots=True)
+class WatcherPulse:
+    """Tell subscribers that nothing changed since the last report but the store's age."""
+
+    store_age_ms: float
+
+
 @dataclass(frozen=True, slots=True)
 class StateRequest:
     """Ask a watcher for a topic.
@@ -175,6 +182,7 @@
     | ExplanationHandover
     | MemberReport
     | WatcherReport
+    | WatcherPulse
     | StateRequest
     | StateNews
 )
@@ -193,6 +201,7 @@
         ExplanationHandover,
         MemberReport,
         WatcherReport,
+        WatcherPulse,
         StateRequest,
         StateNews,
     )
--- a/packages/cassiahaven-core/cassiahaven_core/pool.py
+++ b/packages/cassiahaven-core/cassiahaven_core/pool.py
@@ -9,7 +9,7 @@
 from cassiahaven_core.lifecycle import SERVING, EndpointEvent, EndpointStatus, next_status
 
 MS_PER_S = 1000.0
-SLOWNESS_SMOOTHING = 0.2
+SLOWNESS_SMOOTHING = 0.05
 PARTNER_TIME_SMOOTHING = 0.02
 INITIAL_PARTNER_TIME_MS = 5.0
 SLOW_CALL_RATIO = 4.0  # below 4, ordinary spread of service times counted as slowness
@@ -22,9 +22,9 @@
 COLD_PENALTY = 2.0
 OCCUPANCY_COST = 0.2
 NEARLY_FULL_SHARE = 0.8  # endpoints slow down when more of their slots than this are taken
-NEARLY_FULL_COST = 1.4
+NEARLY_FULL_COST = 1.5
 FULL_COST = 4.0  # behind a full endpoint a call waits for about as long as it takes itself, twice
-COST_PER_DISTANCE_MS = 0.4  # a round trip over the shortest calls' 5 ms
+COST_PER_DISTANCE_MS = 2.4  # half of what a slow neighbour costs: bytes between zones are paid for
 HALF_SLOT = 0.5  # a faded report of others' calls is a fraction
 TIE_BREAK = 0.02
 SHORTEST_USUAL_MS = 0.1
@@ -198,10 +198,6 @@
     Args:
         share: Part of each endpoint's slots that this entry fills before it queues.
         rng: Breaks ties, so that entries do not all prefer the same endpoint.
-
-    Attributes:
-        cost_per_distance_ms: What each millisecond of distance adds to the cost of an endpoint, as
-            a part of the cost of a near one.
     """
 
     __slots__ = (
@@ -212,7 +208,6 @@
         "_ejected",
         "_serving",
         "_usual_slowdown",
-        "cost_per_distance_ms",
     )
 
     def __init__(self, *, share: SlotShare = WHOLE_SHARE, rng: Random | None = None) -> None:
@@ -223,7 +218,6 @@
         self._ejected: set[str] = set()
         self._serving: list[Endpoint] = []
         self._usual_slowdown = 1.0
-        self.cost_per_distance_ms = COST_PER_DISTANCE_MS
 
     def set_endpoints(self, addresses: list[EndpointAddress], now_ms: float) -> None:
         """Take in the listed endpoints; a new incarnation starts without its past."""
@@ -393,9 +387,14 @@
         return None
 
     def _cost(self, endpoint: Endpoint, now_ms: float) -> float:
+        """Return what a call costs at the endpoint, in times of what it costs at an idle one.
+
+        Distance adds to the cost and does not multiply it: it is paid once, however slow the VM is.
+        """
         started_by_call = endpoint.started_by_call
         slots = endpoint.address.slots
         cost = endpoint.idle_cost * self._expected_slowdown(endpoint, now_ms)
+        distance = endpoint.address.distance_ms * COST_PER_DISTANCE_MS
         if now_ms - endpoint.probe_failed_ms < REPORT_MEMORY_MS:
             cost *= FAILED_PROBE_COST
         taken = len(started_by_call) + self._others_in_flight(endpoint, now_ms)
@@ -404,12 +403,12 @@
         elif taken + 1 > slots * NEARLY_FULL_SHARE:
             cost *= NEARLY_FULL_COST
         if not started_by_call:
-            return cost
+            return cost + distance
         oldest = next(iter(started_by_call.values()))
         ratio = (now_ms - oldest.at_ms) / (oldest.usual_ms * oldest.slowdown)
         if ratio > SLOW_CALL_RATIO and ratio > endpoint.slowness:
             cost *= ratio / endpoint.slowness
-        return cost * (1 + OCCUPANCY_COST * taken / slots)
+        return cost * (1 + OCCUPANCY_COST * taken / slots) + distance
 
     def _expected_slowdown(self, endpoint: Endpoint, now_ms: float) -> float:
         """Return how slow an endpoint's VM is by its last report, which fades as it ages."""
@@ -430,8 +429,7 @@
         if endpoint.consecutive_failures:
             # A fast failure frees its slot at once, so an idle look must not draw more work.
             cost *= FAILURE_PENALTY ** min(endpoint.consecutive_failures, MOST_PENALTIES)
-        distance = endpoint.address.distance_ms * self.cost_per_distance_ms
-        return cost * (1 + TIE_BREAK * self._rng.random() + distance)
+        return cost * (1 + TIE_BREAK * self._rng.random())
 
     def _learn_success(self, endpoint: Endpoint, started: Started, now_ms: float) -> None:
         # What a neighbour of the VM cost says nothing of the endpoint itself.
--- a/packages/cassiahaven-core/cassiahaven_core/routed_settings.py
+++ b/packages/cassiahaven-core/cassiahaven_core/routed_settings.py
@@ -20,6 +20,7 @@
 
     Attributes:
         region_by_zone: Every availability zone with its region.
+        cores: Processor time a second that the VM gives this process.
         callers: Where calls are taken.
         readiness: Where the platform asks whether this entry is ready.
         directory: Where callers ask which addresses to use.
@@ -36,6 +37,7 @@
     name: str
     availability_zone: str
     region_by_zone: dict[str, str]
+    cores: float
     callers: SocketAddress
     readiness: SocketAddress
     directory: SocketAddress
--- a/packages/cassiahaven-core/cassiahaven_core/service.py
+++ b/packages/cassiahaven-core/cassiahaven_core/service.py
@@ -14,7 +14,7 @@
 )
 from cassiahaven_core.reason import RefusalReason, RetryReason
 from cassiahaven_core.retry import RetryBudget
-from cassiahaven_core.schedule import hopeless_calls
+from cassiahaven_core.schedule import SHORTEST_SHARE, hopeless_calls
 
 RETRY_BY_RESULT: dict[CallResult, RetryReason] = {
     CallResult.CONNECT_FAILED: RetryReason.CONNECT_FAILED,
@@ -144,7 +144,10 @@
             The reason and the effects for this and other calls, ``None`` if it is not repeated.
         """
         reason = RETRY_BY_RESULT.get(result)
-        if reason is None or len(tried) >= call.most_attempts or call.deadline_ms <= now_ms:
+        if reason is None or len(tried) >= call.most_attempts:
+            return None
+        shortest_ms = self.pool.usual_ms(call.partner) * SHORTEST_SHARE
+        if now_ms + shortest_ms > call.deadline_ms:
             return None
         if not call.idempotent and result not in NOT_RUN_RESULTS:
             return None
--- a/packages/cassiahaven-entry/cassiahaven_entry/fleet_links.py
+++ b/packages/cassiahaven-entry/cassiahaven_entry/fleet_links.py
@@ -1,6 +1,7 @@
 """The links between the entries of a fleet: each follows a few watchers of the store."""
 
 from collections.abc import Callable
+from dataclasses import replace
 
 import eventlet
 
@@ -11,6 +12,7 @@
     PeerMessage,
     StateNews,
     StateRequest,
+    WatcherPulse,
     WatcherReport,
 )
 from cassiahaven_entry.clock import MS_PER_S, now_ms
@@ -65,6 +67,7 @@
         self._fleet = fleet
         self._state = state
         self._asked_ms_by_topic: dict[str, float] = {}
+        self._version_by_topic: dict[str, int] = {}
 
     @property
     def is_connected(self) -> bool:
@@ -93,6 +96,7 @@
 
     def _on_connected(self) -> None:
         self._asked_ms_by_topic.clear()
+        self._version_by_topic = {}
         self.report(self._fleet.own.name in self._fleet.draining)
 
     def _on_disconnected(self) -> None:
@@ -103,6 +107,9 @@
         match message:
             case WatcherReport():
                 self._take_in(message)
+            case WatcherPulse(store_age_ms=store_age_ms):
+                self._fleet.hear_pulse(self.name, store_age_ms=store_age_ms, now_ms=now_ms())
+                self._ask()
             case StateNews(topic=topic):
                 self._asked_ms_by_topic.pop(topic, None)
                 self._state.on_news(message)
@@ -117,8 +124,12 @@
             store_age_ms=report.store_age_ms,
             now_ms=now_ms(),
         )
+        self._version_by_topic = report.version_by_topic
+        self._ask()
+
+    def _ask(self) -> None:
         own = self._state.versions()
-        for topic, version in report.version_by_topic.items():
+        for topic, version in self._version_by_topic.items():
             asked_ms = self._asked_ms_by_topic.get(topic, float("-inf"))
             if version > own[topic] and now_ms() - asked_ms > REQUEST_TIMEOUT_MS:
                 self._asked_ms_by_topic[topic] = now_ms()
@@ -140,6 +151,7 @@
         self._state = state
         self._key = key
         self._name_by_connection: dict[str, str] = {}
+        self._published: WatcherReport | None = None
         host, _, port = fleet.own.peers.rpartition(":")
         self._server = PeerServer(
             host,
@@ -172,9 +184,13 @@
             eventlet.sleep(REPORT_INTERVAL_MS / MS_PER_S)
 
     def publish_report(self) -> None:
-        """Tell the subscribers what this entry has, now."""
-        if self.has_subscribers:
-            self._server.publish(self._state.report())
+        """Tell the subscribers what this entry has, now; in short if they know it already."""
+        if not self.has_subscribers:
+            return
+        report = self._state.report()
+        is_known = replace(report, store_age_ms=0.0) == self._published
+        self._published = replace(report, store_age_ms=0.0)
+        self._server.publish(WatcherPulse(report.store_age_ms) if is_known else report)
 
     def publish(self, message: PeerMessage) -> None:
         """Send ``message`` to the subscribers and the watchers that this entry follows."""
--- a/packages/cassiahaven-entry/cassiahaven_entry/routed_node.py
+++ b/packages/cassiahaven-entry/cassiahaven_entry/routed_node.py
@@ -44,8 +44,7 @@
 EXIT_BEFORE_KILL_MS = 250.0
 OTHER_ZONE_MS = 1.0  # one way; zones of a region are a few milliseconds apart at the most
 OTHER_REGION_MS = 30.0
-OTHER_ZONE_COST = 2.5  # bytes between zones are paid for; half of what a slow neighbour costs
-CARRIERS_PER_ZONE = 1  # more of them know less of the endpoints each, see decision 001
+CARRIER_CORES = 0.8  # of a zone's carriers together; more of them know less each
 RETRY_SHARE_USED = 0.8  # the bound is judged on windows that end between our buckets
 PROBE_SHARE = 0.25  # of what an endpoint may get: other zones' carriers probe it too
 PEER_KEY = "fleet"  # entries meet on a network that nobody else reaches
@@ -78,6 +77,7 @@
             settings.availability_zone,
             str(settings.callers),
             str(settings.peers),
+            settings.cores,
         )
         self._build_fleet()
         self._build_calls()
@@ -154,7 +154,6 @@
             task = ServiceTask(service, self.settings.availability_zone)
             self._task_by_service[service] = task
             task.policy.retry_budget.terms = self._retry_terms()
-            task.policy.pool.cost_per_distance_ms = OTHER_ZONE_COST / OTHER_ZONE_MS
             task.policy.probes_per_s = self.settings.probes_per_s * PROBE_SHARE
             self._set_endpoints(service, task)
         return task
@@ -227,7 +226,7 @@
     def _carriers(self, host: str, zone: str) -> list[Member]:
         if not self.is_ready and not self.is_draining:
             return []
-        return self.fleet.carriers(host, zone, CARRIERS_PER_ZONE, now_ms())
+        return self.fleet.carriers(zone, CARRIER_CORES, now_ms())
 
     def _report(self) -> WatcherReport:
         return WatcherReport(
