Prove the platform path with real processes; ask the store at the start only if no watcher does

The new test of lost answers found a safe call run three times where two attempts were allowed: a probe moved its second attempt back to the endpoint that had failed. Endpoints that a call was sent to are now excluded from such moves; the core's test fails without that.

--- a/packages/cassiahaven-core/cassiahaven_core/routed_settings.py
+++ b/packages/cassiahaven-core/cassiahaven_core/routed_settings.py
@@ -49,4 +49,4 @@
     retry_window_ms: float
     stop_ms: float
     probes_per_s: float
-    metrics_port: int = 9464
+    metrics_port: int
--- a/packages/cassiahaven-core/cassiahaven_core/service.py
+++ b/packages/cassiahaven-core/cassiahaven_core/service.py
@@ -94,7 +94,13 @@
         return self.pool.take_probe(endpoint, rate_per_s=self.probes_per_s, now_ms=now_ms)
 
     def measured(
-        self, call: Waiting, endpoint: str, report: LoadReport | ProbeFailed, now_ms: float
+        self,
+        call: Waiting,
+        endpoint: str,
+        report: LoadReport | ProbeFailed,
+        now_ms: float,
+        *,
+        tried: frozenset[str] = frozenset(),
     ) -> Dispatch | None:
         """Take in a probe of the endpoint that a call is about to go to.
 
@@ -106,6 +112,7 @@
             endpoint: The endpoint that was probed.
             report: What it said.
             now_ms: Current time, milliseconds.
+            tried: Endpoints that the call was sent to before.
 
         Returns:
             Where the call goes instead, ``None`` if it stays.
@@ -114,7 +121,7 @@
             self.pool.fail_probe(endpoint, now_ms)
         else:
             self.pool.report_load(endpoint, report, now_ms)
-        better = self.pool.move(endpoint, call.call_id, now_ms, excluded=call.tried)
+        better = self.pool.move(endpoint, call.call_id, now_ms, excluded=tried)
         if better is None:
             return None
         return Dispatch(call.call_id, better.address, now_ms - call.arrived_ms)
--- a/packages/cassiahaven-core/tests/test_worst_load.py
+++ b/packages/cassiahaven-core/tests/test_worst_load.py
@@ -217,3 +217,14 @@
         earned = sum(end_ms - window_ms <= at_ms <= end_ms for at_ms in calls)
         assert inside <= share * earned + slack
     assert Counter(retries).total() <= len(events)
+
+
+def test_a_repeated_call_is_not_moved_back_to_where_it_failed():
+    made = policy(endpoints=2)
+    [effect] = made.arrive(call("1"), 0.0)
+    first = effect.address.endpoint
+    made.finish(call("1"), first, CallResult.CONNECTION_LOST, 1.0)
+    tried = frozenset({first})
+    _, [again] = made.retry(call("1"), CallResult.CONNECTION_LOST, tried, 1.0)
+    report = LoadReport(0, 0, SLOWED)
+    assert made.measured(call("1"), again.address.endpoint, report, 1.0, tried=tried) is None
--- a/packages/cassiahaven-entry/cassiahaven_entry/attempts.py
+++ b/packages/cassiahaven-entry/cassiahaven_entry/attempts.py
@@ -103,7 +103,7 @@
                 return progress.finished(effect.reason)
             if effect.waited_ms >= NOTABLE_WAIT_MS:
                 call.note("waited", f"{effect.waited_ms:.1f} ms for a free slot")
-            address = self._place(call, task, effect.address)
+            address = self._place(call, task, effect.address, frozenset(tried))
             tried.add(address.endpoint)
             ended = self._attempt(call, task, address)
             result = self._learn(progress, ended)
@@ -124,7 +124,13 @@
             progress.unknown = UNKNOWN_BY_RESULT.get(ended.result, UnknownReason.INTERNAL)
         return ended.result
 
-    def _place(self, call: Call, task: ServiceTask, address: EndpointAddress) -> EndpointAddress:
+    def _place(
+        self,
+        call: Call,
+        task: ServiceTask,
+        address: EndpointAddress,
+        tried: frozenset[str],
+    ) -> EndpointAddress:
         """Probe the endpoint that the call is to go to, and others if that one is slow now."""
         for _ in range(MOST_PROBES):
             if not task.policy.take_probe(address.endpoint, now_ms()):
@@ -135,7 +141,7 @@
             except BaseException:
                 task.finish(call.waiting, address.endpoint, CallResult.CANCELLED)
                 raise
-            better = task.measured(call.waiting, address.endpoint, report)
+            better = task.measured(call.waiting, address.endpoint, report, tried)
             if better is None:
                 break
             call.note("passed over", f"{address.endpoint} {_slowness_text(report)}")
--- a/packages/cassiahaven-entry/cassiahaven_entry/fleet_view.py
+++ b/packages/cassiahaven-entry/cassiahaven_entry/fleet_view.py
@@ -56,6 +56,11 @@
         """Tell whether any endpoint is known."""
         return bool(self._endpoints.item_by_name)
 
+    @property
+    def has_members(self) -> bool:
+        """Tell whether the registered members are known."""
+        return bool(self._members.revision)
+
     def versions(self) -> dict[str, int]:
         """Return the version of each topic that this entry has, by name."""
         return {
--- a/packages/cassiahaven-entry/cassiahaven_entry/routed_node.py
+++ b/packages/cassiahaven-entry/cassiahaven_entry/routed_node.py
@@ -44,6 +44,7 @@
 EXIT_BEFORE_KILL_MS = 250.0
 OTHER_ZONE_MS = 1.0  # one way; zones of a region are a few milliseconds apart at the most
 OTHER_REGION_MS = 30.0
+FIRST_NEWS_MS = 1200.0  # a watcher that lives has answered by then, also one that starts as we do
 CARRIER_CORES = 0.8  # of a zone's carriers together; more of them know less each
 RETRY_SHARE_USED = 0.8  # the bound is judged on windows that end between our buckets
 PROBE_SHARE = 0.25  # of what an endpoint may get: other zones' carriers probe it too
@@ -70,6 +71,7 @@
         self._task_by_service: dict[str, ServiceTask] = {}
         self._registrations: list[Registration] = []
         self._live: set[str] = set()
+        self._started_ms = now_ms()
         self.process = f"{settings.name}-{secrets.token_hex(PROCESS_NAME_BYTES)}"
         self.member = Member(
             settings.name,
@@ -236,15 +238,16 @@
             version_by_topic=self.view.versions(),
         )
 
-    def _is_watching(self) -> bool:
-        if self.is_draining and not self.links.has_subscribers:
-            return not self.fleet.has_fresh_store_view(now_ms())
-        is_watcher = any(member.name == self.settings.name for member in self.fleet.watchers())
-        return (
-            is_watcher
-            or self.links.has_subscribers
-            or not self.fleet.has_fresh_store_view(now_ms())
-        )
+    def _is_watching(self, topic: Topic) -> bool:
+        if not self.view.has_members:
+            # Who watches follows from the members, so these come first.
+            return topic is Topic.MEMBERS
+        watchers = {member.name for member in self.fleet.watchers()}
+        if self.links.has_subscribers or self.settings.name in watchers - self.fleet.draining:
+            return True
+        if now_ms() - self._started_ms < FIRST_NEWS_MS:
+            return False
+        return not self.fleet.has_fresh_store_view(now_ms())
 
     def _on_config(self, config: GatewayConfig) -> None:
         for spec in config.service_by_name.values():
--- a/packages/cassiahaven-entry/cassiahaven_entry/service_task.py
+++ b/packages/cassiahaven-entry/cassiahaven_entry/service_task.py
@@ -51,10 +51,14 @@
         return self._wait(call, self.policy.arrive(call, now_ms()))
 
     def measured(
-        self, call: Waiting, endpoint: str, report: LoadReport | ProbeFailed
+        self,
+        call: Waiting,
+        endpoint: str,
+        report: LoadReport | ProbeFailed,
+        tried: frozenset[str],
     ) -> Dispatch | None:
         """Report a probe of the endpoint that a call is about to go to; see the policy."""
-        return self.policy.measured(call, endpoint, report, now_ms())
+        return self.policy.measured(call, endpoint, report, now_ms(), tried=tried)
 
     def finish(self, call: Waiting, endpoint: str, result: CallResult) -> None:
         """Report the end of a call at an endpoint."""
--- a/packages/cassiahaven-entry/cassiahaven_entry/store_feed.py
+++ b/packages/cassiahaven-entry/cassiahaven_entry/store_feed.py
@@ -25,7 +25,7 @@
 
     Args:
         store: The fleet's store.
-        is_wanted: Tells whether this entry is to follow the store.
+        is_wanted: Tells whether this entry is to follow a topic of the store.
         on_changes: Called with what was read.
         on_store: Called when the store went away or came back.
     """
@@ -34,7 +34,7 @@
         self,
         store: FleetStore,
         *,
-        is_wanted: Callable[[], bool],
+        is_wanted: Callable[[Topic], bool],
         on_changes: Callable[[Topic, FleetChanges], None],
         on_store: Callable[[bool], None],
     ) -> None:
@@ -54,7 +54,7 @@
         """Read and then watch ``topic`` for ever."""
         revision: int | None = None
         while True:
-            if not self._is_wanted():
+            if not self._is_wanted(topic):
                 revision = None
                 eventlet.sleep(IDLE_INTERVAL_MS / MS_PER_S)
                 continue
@@ -83,7 +83,8 @@
         """
         while True:
             eventlet.sleep(CHECK_INTERVAL_MS / MS_PER_S)
-            if not self._is_wanted() or self.age_ms < CHECK_INTERVAL_MS:
+            is_wanted = any(self._is_wanted(topic) for topic in Topic)
+            if not is_wanted or self.age_ms < CHECK_INTERVAL_MS:
                 continue
             try:
                 self._store.check()
--- /dev/null
+++ b/packages/cassiahaven-standins/cassiahaven_standins/platform_fleet.py
@@ -0,0 +1,236 @@
+"""Entries as real processes on a stand-in of the platform."""
+
+import http.client
+import json
+import os
+import signal
+import subprocess
+import sys
+from collections.abc import Iterator
+from contextlib import contextmanager
+from pathlib import Path
+from typing import Any
+
+from cassiahaven_standins.fleet import free_port, wait_until
+from cassiahaven_standins.platform_endpoint import PlatformEndpoint
+from cassiahaven_standins.platform_store import PlatformStore
+
+ZONES = ("a", "b")
+GRACE_MS = 2500
+
+
+class Entry:
+    """Run one entry process with a settings file of the platform's format."""
+
+    def __init__(self, name: str, zone: str, store: str, folder: Path) -> None:
+        self.name = name
+        self.zone = zone
+        self._path = folder / f"{name}.json"
+        self.log_path = folder / f"{name}.log"
+        front, ready, directory, peers, self.metrics_port = (free_port() for _ in range(5))
+        self.front, self.ready, self.directory = front, ready, directory
+        self._path.write_text(json.dumps(self._settings(store, peers)))
+        self.process: subprocess.Popen | None = None
+
+    def _settings(self, store: str, peers: int) -> dict[str, Any]:
+        return {
+            "node": self.name,
+            "ip": "127.0.0.1",
+            "zone": self.zone,
+            "zones": dict.fromkeys(ZONES, "region"),
+            "listen": {
+                "front": f"127.0.0.1:{self.front}",
+                "ready": f"127.0.0.1:{self.ready}",
+                "directory": f"127.0.0.1:{self.directory}",
+            },
+            "internalPorts": [peers, peers],
+            "limits": {"cpuShare": 0.86, "cpuCores": 1},
+            "bounds": [
+                "ttl_max=5s",
+                f"grace={GRACE_MS}ms",
+                "budgetRatio=0.2",
+                "budgetWindow=10s",
+                "budgetSlack=60",
+                "probesPerS=60",
+            ],
+            "platform": {"address": store},
+        }
+
+    def start(self) -> None:
+        """Start the process."""
+        environment = os.environ | {
+            "CASSIAHAVEN_CONFIG": str(self._path),
+            "EVENTLET_NO_GREENDNS": "yes",
+            "CASSIAHAVEN_METRICS_PORT": str(self.metrics_port),
+        }
+        command = [sys.executable, "-m", "cassiahaven_entry.routed_main", "cassiahaven_platform"]
+        with self.log_path.open("ab") as log:
+            self.process = subprocess.Popen(
+                command, env=environment, stdout=log, stderr=subprocess.STDOUT
+            )
+
+    def signal(self, number: int) -> None:
+        """Send a signal to the process."""
+        self.process.send_signal(number)
+
+    def is_ready(self) -> bool:
+        """Tell whether the entry says that it is ready."""
+        return self.ask(self.ready, "/cassiahaven/readiness")[0] == 200
+
+    def lookup(self, host: str, zone: str) -> list[str]:
+        """Return the addresses that the directory names."""
+        target = f"/cassiahaven/lookup?name={host}&region=region&zone={zone}"
+        status, body = self.ask(self.directory, target)
+        return json.loads(body)["addresses"] if status == 200 else []
+
+    def ask(self, port: int, target: str) -> tuple[int, bytes]:
+        """Return status and body of a GET, status 0 if nobody answers."""
+        connection = http.client.HTTPConnection("127.0.0.1", port, timeout=5)
+        try:
+            connection.request("GET", target)
+            response = connection.getresponse()
+            return response.status, response.read()
+        except OSError:
+            return 0, b""
+        finally:
+            connection.close()
+
+    def events(self, name: str) -> list[dict[str, Any]]:
+        """Return the log lines of an event."""
+        lines = self.log_path.read_text(encoding="utf-8", errors="replace").splitlines()
+        parsed = [json.loads(line) for line in lines if line.startswith("{")]
+        return [line for line in parsed if line.get("event") == name]
+
+    def close(self) -> None:
+        """End the process."""
+        if self.process is not None and self.process.poll() is None:
+            self.process.send_signal(signal.SIGCONT)
+            self.process.kill()
+            self.process.wait()
+
+
+class PlatformFleet:
+    """Hold a store, endpoints and entries, and act as the operator."""
+
+    def __init__(self, folder: Path, *, entries: int = 2) -> None:
+        self.store = PlatformStore()
+        self.endpoint_by_name: dict[str, PlatformEndpoint] = {}
+        self.entries = [
+            Entry(
+                f"edge-{ZONES[n % len(ZONES)]}-{n}",
+                ZONES[n % len(ZONES)],
+                self.store.address,
+                folder,
+            )
+            for n in range(entries)
+        ]
+        self.version = 0
+
+    def add_endpoint(self, name: str, service: str, zone: str = "a") -> PlatformEndpoint:
+        """Start and register an endpoint."""
+        endpoint = PlatformEndpoint(name, service, zone)
+        self.endpoint_by_name[name] = endpoint
+        self.store.state.put("servers", name, endpoint.registration())
+        return endpoint
+
+    def drain(self, name: str) -> None:
+        """Let an endpoint register as draining."""
+        registration = self.endpoint_by_name[name].registration("draining")
+        self.store.state.put("servers", name, registration)
+
+    def configure(self, service_by_prefix: dict[str, str], *, timeout_ms: int = 2000) -> int:
+        """Write a configuration with a ``safe`` and an ``unsafe`` route for each prefix."""
+        self.version += 3
+        columns = [
+            *("name", "hostname", "pathPrefix", "kind", "timeout"),
+            *("targetLatency", "priority", "maxAttempts", "service"),
+        ]
+        rows = [
+            [
+                f"r-{kind}-{prefix}",
+                "h.example",
+                f"/{kind}/{prefix}/",
+                kind,
+                f"{timeout_ms}ms",
+                "300ms",
+                1,
+                2,
+                service,
+            ]
+            for prefix, service in service_by_prefix.items()
+            for kind in ("safe", "unsafe")
+        ]
+        services = sorted(set(service_by_prefix.values()))
+        spec = {
+            "version": self.version,
+            "routes": {"columns": columns, "rows": rows},
+            "services": {
+                "columns": ["name", "healthPath", "maxConnections", "protocol", "tls"],
+                "rows": [[name, "/health", 240, "h1", False] for name in services],
+            },
+            "limits": {
+                "maxHeaderBytes": 16384,
+                "maxBodyBytes": 1_000_000,
+                "headerTimeout": "3000ms",
+                "idleTimeout": "15000ms",
+            },
+        }
+        return self.store.state.put("config", "main", spec)
+
+    def start(self) -> None:
+        """Start all entries and wait until they are ready."""
+        for entry in self.entries:
+            entry.start()
+        wait_until(lambda: all(entry.is_ready() for entry in self.entries), "entries are ready")
+
+    def call(
+        self,
+        entry: Entry,
+        method: str,
+        target: str,
+        *,
+        request: str,
+        body: bytes = b"",
+        deadline_ms: int = 2000,
+    ) -> tuple[int, bytes, dict[str, str]]:
+        """Return status, body and headers of a call, status 0 for a connection that broke."""
+        connection = http.client.HTTPConnection("127.0.0.1", entry.front, timeout=10)
+        headers = {
+            "Host": "h.example",
+            "Request-Id": request,
+            "Deadline-Ms": str(deadline_ms),
+        }
+        try:
+            connection.request(method, target, body=body or None, headers=headers)
+            response = connection.getresponse()
+            return response.status, response.read(), dict(response.getheaders())
+        except (OSError, http.client.HTTPException):
+            return 0, b"", {}
+        finally:
+            connection.close()
+
+    def runs(self, request: str) -> int:
+        """Return how often a request was run."""
+        return sum(
+            ran == request
+            for endpoint in self.endpoint_by_name.values()
+            for ran, _, _ in endpoint.state.ran
+        )
+
+    def close(self) -> None:
+        """End everything."""
+        for entry in self.entries:
+            entry.close()
+        for endpoint in self.endpoint_by_name.values():
+            endpoint.close()
+        self.store.close()
+
+
+@contextmanager
+def platform_fleet(folder: Path, *, entries: int = 2) -> Iterator[PlatformFleet]:
+    """Run a fleet on a stand-in of the platform."""
+    fleet = PlatformFleet(folder, entries=entries)
+    try:
+        yield fleet
+    finally:
+        fleet.close()
--- /dev/null
+++ b/packages/cassiahaven-standins/cassiahaven_standins/platform_store.py
@@ -0,0 +1,193 @@
+"""A stand-in of the platform's store and of the operator who writes to it."""
+
+import json
+import threading
+import time
+from collections import deque
+from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
+from typing import Any
+from urllib.parse import parse_qs, urlsplit
+
+OBJECTS_PATH = "/cassiahaven/objects/"
+HISTORY_LENGTH = 1000
+POLL_S = 0.02
+
+
+class StoreState:
+    """Hold objects by kind and name, with one revision for all, and the faults in force.
+
+    Attributes:
+        is_down: Whether every call gets a 503.
+        turned_away: Addresses of callers that get a 503.
+        is_silent: Whether calls get no answer.
+        call_count: Calls so far, refused ones included.
+    """
+
+    def __init__(self) -> None:
+        self.lock = threading.Lock()
+        self.revision = 1
+        self.object_by_key: dict[tuple[str, str], dict[str, Any]] = {}
+        self.history: deque[tuple[int, str, dict[str, Any], bool]] = deque(maxlen=HISTORY_LENGTH)
+        self.forgotten = 0
+        self.is_down = False
+        self.is_silent = False
+        self.turned_away: set[str] = set()
+        self.call_count = 0
+
+    def put(self, kind: str, name: str, spec: Any) -> int:
+        """Write an object and return the store's revision."""
+        with self.lock:
+            known = self.object_by_key.get((kind, name))
+            if known is not None and known["spec"] == spec:
+                return self.revision
+            self.revision += 1
+            metadata = {"name": name, "revision": self.revision, "finalizers": []}
+            stored = {"metadata": metadata, "spec": spec, "status": None}
+            self.object_by_key[kind, name] = stored
+            self.history.append((self.revision, kind, stored, False))
+            return self.revision
+
+    def delete(self, kind: str, name: str) -> None:
+        """Remove an object."""
+        with self.lock:
+            stored = self.object_by_key.pop((kind, name), None)
+            if stored is not None:
+                self.revision += 1
+                self.history.append((self.revision, kind, stored, True))
+
+    def forget_history(self) -> None:
+        """Drop what watches could continue from."""
+        with self.lock:
+            self.forgotten = self.revision
+            self.history.clear()
+
+    def items(self, kind: str) -> list[dict[str, Any]]:
+        """Return all objects of a kind."""
+        with self.lock:
+            return [item for (other, _), item in self.object_by_key.items() if other == kind]
+
+    def events(self, kind: str, revision: int) -> list[dict[str, Any]] | None:
+        """Return what changed after ``revision``, ``None`` if that is forgotten."""
+        with self.lock:
+            if revision < self.forgotten:
+                return None
+            return [
+                {"object": stored, "deleted": deleted}
+                for at, other, stored, deleted in self.history
+                if at > revision and other == kind
+            ]
+
+
+class _Handler(BaseHTTPRequestHandler):
+    protocol_version = "HTTP/1.1"
+    state: StoreState
+
+    def do_GET(self) -> None:
+        kind, name, query = self._parts()
+        if self._is_refused():
+            return
+        if "watch" in query:
+            self._watch(kind, int(query["watch"]), int(query.get("waitMs", 0)))
+        elif name:
+            stored = self.state.object_by_key.get((kind, name))
+            self._send(200 if stored else 404, stored)
+        else:
+            items = self.state.items(kind)
+            self._send(200, {"items": items, "more": False, "storeRevision": self.state.revision})
+
+    def do_POST(self) -> None:
+        kind, _, _ = self._parts()
+        body = self._body()
+        if self._is_refused():
+            return
+        name = body["metadata"]["name"]
+        if (kind, name) in self.state.object_by_key:
+            self._send(409, self.state.object_by_key[kind, name])
+            return
+        self.state.put(kind, name, body["spec"])
+        self._send(201, self.state.object_by_key[kind, name])
+
+    def do_PUT(self) -> None:
+        kind, name, _ = self._parts()
+        body = self._body()
+        if self._is_refused():
+            return
+        if (kind, name) not in self.state.object_by_key:
+            self._send(404, None)
+            return
+        self.state.put(kind, name, body["spec"])
+        self._send(200, self.state.object_by_key[kind, name])
+
+    def do_DELETE(self) -> None:
+        kind, name, _ = self._parts()
+        if not self._is_refused():
+            self.state.delete(kind, name)
+            self._send(200, None)
+
+    def _watch(self, kind: str, revision: int, wait_ms: int) -> None:
+        give_up = time.monotonic() + wait_ms / 1000
+        while True:
+            events = self.state.events(kind, revision)
+            if events is None:
+                self._send(410, None)
+                return
+            if events or time.monotonic() >= give_up or self.state.is_down:
+                plain = {"events": events, "storeRevision": self.state.revision}
+                self._send(503 if self.state.is_down else 200, plain)
+                return
+            threading.Event().wait(POLL_S)
+
+    def _parts(self) -> tuple[str, str, dict[str, str]]:
+        parts = urlsplit(self.path)
+        kind, _, name = parts.path.removeprefix(OBJECTS_PATH).partition("/")
+        return kind, name, {key: values[0] for key, values in parse_qs(parts.query).items()}
+
+    def _body(self) -> Any:
+        return json.loads(self.rfile.read(int(self.headers["Content-Length"])))
+
+    def _is_refused(self) -> bool:
+        self.state.call_count += 1
+        while self.state.is_silent:
+            threading.Event().wait(POLL_S)
+        if self.state.is_down or self.client_address[0] in self.state.turned_away:
+            self._send(503, None)
+            return True
+        return False
+
+    def _send(self, status: int, value: Any) -> None:
+        data = json.dumps(value).encode()
+        try:
+            self.send_response(status)
+            self.send_header("Content-Type", "application/json")
+            self.send_header("Content-Length", str(len(data)))
+            self.end_headers()
+            self.wfile.write(data)
+        except OSError:
+            # The entry was killed or gave up waiting.
+            self.close_connection = True
+
+    def log_message(self, format: str, *args: object) -> None:
+        """Keep quiet."""
+
+
+class PlatformStore:
+    """Serve a store on loopback."""
+
+    def __init__(self) -> None:
+        self.state = StoreState()
+        handler = type("Handler", (_Handler,), {"state": self.state})
+        self._server = ThreadingHTTPServer(("127.0.0.1", 0), handler)
+        self._server.daemon_threads = True
+        self._thread = threading.Thread(target=self._server.serve_forever, daemon=True)
+        self._thread.start()
+
+    @property
+    def address(self) -> str:
+        """Return the address as host and port."""
+        host, port = self._server.server_address
+        return f"{host}:{port}"
+
+    def close(self) -> None:
+        """Stop serving."""
+        self._server.shutdown()
+        self._server.server_close()
--- /dev/null
+++ b/tests/test_platform_path.py
@@ -0,0 +1,294 @@
+"""Real entries on a stand-in of the platform: the whole path and what may fail on it."""
+
+import http.client
+import signal
+import threading
+import time
+from concurrent.futures import ThreadPoolExecutor
+from itertools import count
+
+import pytest
+
+from cassiahaven_standins.fleet import wait_until
+from cassiahaven_standins.platform_fleet import platform_fleet
+
+CONFIG_BOUND_S = 2.0
+DRAIN_BOUND_S = 2.0
+
+
+@pytest.fixture
+def fleet(tmp_path):
+    with platform_fleet(tmp_path) as running:
+        for name, service in (("i-1", "one"), ("i-2", "one"), ("i-3", "two")):
+            running.add_endpoint(name, service)
+        running.configure({"x": "one"})
+        running.start()
+        yield running
+
+
+@pytest.fixture
+def request_id():
+    numbers = count()
+    return lambda: f"req-{next(numbers)}"
+
+
+def test_whole_path_of_safe_and_unsafe_calls(fleet, request_id):
+    for entry in fleet.entries:
+        for method, kind in (("GET", "safe"), ("POST", "unsafe")):
+            request = request_id()
+            target = f"/{kind}/x/a%2Fb?q=%7e"
+            status, body, headers = fleet.call(
+                entry, method, target, request=request, body=b"payload"
+            )
+            assert status == 200, entry.log_path.read_text()[-2000:]
+            assert body == f"one {target} payload".encode()
+            assert headers["Response-Signature"] == f"sig-{request}"
+            assert fleet.runs(request) == 1
+    assert fleet.call(fleet.entries[0], "GET", "/nowhere/", request="r")[0] == 404
+
+
+def test_entries_name_the_same_carrier_for_a_zone(fleet):
+    wait_until(
+        lambda: all(
+            entry.lookup("h.example", zone) == [f"127.0.0.1:{fleet.entries[n].front}"]
+            for entry in fleet.entries
+            for n, zone in enumerate("ab")
+        ),
+        "both entries name the same carriers",
+    )
+
+
+def test_killed_carrier_is_replaced_in_the_directory(fleet):
+    first, second = fleet.entries
+    wait_until(lambda: len(second.lookup("h.example", "a")) == 1, "a carrier")
+    wait_until(lambda: second.lookup("h.example", "a")[0].endswith(str(first.front)), "first")
+    first.signal(signal.SIGKILL)
+    wait_until(lambda: second.lookup("h.example", "a")[0].endswith(str(second.front)), "second")
+
+
+def test_new_configuration_is_in_force_at_every_entry_and_never_goes_back(fleet, request_id):
+    fleet.configure({"x": "two", "new": "one"})
+    written = time.monotonic()
+    for entry in fleet.entries:
+        wait_until(
+            lambda entry=entry: fleet.call(entry, "GET", "/safe/new/", request=request_id())[0]
+            == 200,
+            "the added route",
+        )
+        assert time.monotonic() - written < CONFIG_BOUND_S * len(fleet.entries)
+    for _ in range(20):
+        for entry in fleet.entries:
+            _, body, _ = fleet.call(entry, "GET", "/safe/x/", request=request_id())
+            assert body.startswith(b"two")
+
+
+def test_draining_endpoint_gets_no_call_after_the_bound(fleet, request_id):
+    fleet.drain("i-1")
+    threading.Event().wait(DRAIN_BOUND_S)
+    before = len(fleet.endpoint_by_name["i-1"].state.arrivals)
+    for _ in range(20):
+        assert fleet.call(fleet.entries[0], "GET", "/safe/x/", request=request_id())[0] == 200
+    assert len(fleet.endpoint_by_name["i-1"].state.arrivals) == before
+
+
+def test_outage_of_the_store_stops_nothing_and_lapsed_endpoints_are_kept(fleet, request_id):
+    state = fleet.store.state
+    state.is_down = True
+    for name in ("i-1", "i-2"):
+        state.delete("servers", name)
+    for _ in range(10):
+        assert fleet.call(fleet.entries[0], "GET", "/safe/x/", request=request_id())[0] == 200
+    wait_until(lambda: fleet.entries[0].events("store_unavailable"), "the outage is noticed")
+    state.is_down = False
+    wait_until(lambda: fleet.entries[0].events("store_available"), "the store is back")
+    for name in ("i-1", "i-2"):
+        state.put("servers", name, fleet.endpoint_by_name[name].registration())
+    for _ in range(10):
+        assert fleet.call(fleet.entries[0], "GET", "/safe/x/", request=request_id())[0] == 200
+
+
+def test_forgotten_history_is_read_again(fleet, request_id):
+    fleet.store.state.forget_history()
+    fleet.configure({"x": "two"})
+    fleet.store.state.forget_history()
+    wait_until(
+        lambda: all(
+            fleet.call(entry, "GET", "/safe/x/", request=request_id())[1].startswith(b"two")
+            for entry in fleet.entries
+        ),
+        "the configuration written in the gap",
+        timeout_s=40,
+    )
+
+
+def test_only_watchers_ask_the_store_and_the_others_learn_from_them(tmp_path, request_id):
+    with platform_fleet(tmp_path, entries=3) as fleet:
+        fleet.add_endpoint("i-1", "one")
+        fleet.add_endpoint("i-2", "two")
+        fleet.configure({"x": "one"})
+        fleet.start()
+        fleet.configure({"x": "two"})
+        for entry in fleet.entries:
+            wait_until(
+                lambda entry=entry: fleet.call(entry, "GET", "/safe/x/", request=request_id())[
+                    1
+                ].startswith(b"two"),
+                "the newer configuration",
+            )
+        sources = {
+            event["source"]
+            for entry in fleet.entries
+            for event in entry.events("configuration_in_force")
+        }
+        assert sources == {"store", "peer"}
+
+
+def test_lost_answer_is_never_run_again_unless_it_may_be(fleet, request_id):
+    for name in ("i-1", "i-2"):
+        fleet.endpoint_by_name[name].state.fault = "reset"
+    unsafe, safe = request_id(), request_id()
+    assert fleet.call(fleet.entries[0], "POST", "/unsafe/x/", request=unsafe, body=b"b")[0] == 502
+    assert fleet.runs(unsafe) == 1
+    assert fleet.call(fleet.entries[0], "GET", "/safe/x/", request=safe)[0] == 502
+    assert fleet.runs(safe) == 2
+
+
+def test_shed_call_is_refused_as_not_run_with_a_time_to_return(fleet, request_id):
+    for name in ("i-1", "i-2"):
+        fleet.endpoint_by_name[name].state.fault = "shed"
+    request = request_id()
+    status, _, headers = fleet.call(
+        fleet.entries[0], "POST", "/unsafe/x/", request=request, body=b"b"
+    )
+    assert status == 503
+    assert float(headers["Retry-After"]) >= 0
+    assert fleet.runs(request) == 0
+
+
+def test_another_endpoint_at_a_used_address_runs_nothing(fleet, request_id):
+    # The address of i-1 now belongs to an endpoint of another service.
+    fleet.endpoint_by_name["i-1"].state.endpoint = "i-9"
+    for _ in range(10):
+        assert fleet.call(fleet.entries[0], "GET", "/safe/x/", request=request_id())[0] == 200
+    assert fleet.endpoint_by_name["i-1"].state.ran == []
+
+
+def test_foreign_entries_in_the_store_harm_nobody(fleet, request_id):
+    for name, spec in (("i-1", "garbage"), ("x", {"service": "one"}), ("y", None)):
+        fleet.store.state.put("servers", name, spec)
+    wait_until(
+        lambda: any(entry.events("store_entry_malformed") for entry in fleet.entries),
+        "the entries are reported",
+    )
+    for _ in range(10):
+        assert fleet.call(fleet.entries[0], "GET", "/safe/x/", request=request_id())[0] == 200
+
+
+def test_route_timeout_answers_in_time_and_stops_the_work(fleet, request_id):
+    fleet.configure({"x": "one"}, timeout_ms=400)
+    wait_until(
+        lambda: all(entry.events("configuration_in_force")[1:] for entry in fleet.entries),
+        "the newer configuration",
+    )
+    for name in ("i-1", "i-2"):
+        fleet.endpoint_by_name[name].state.work_s = 5.0
+    request = request_id()
+    started = time.monotonic()
+    status, _, _ = fleet.call(fleet.entries[0], "POST", "/unsafe/x/", request=request, body=b"b")
+    assert status == 504
+    assert time.monotonic() - started < 0.9
+    wait_until(lambda: _was_cut(fleet, request), "the endpoint stops")
+
+
+def test_work_stops_when_the_caller_leaves(fleet, request_id):
+    for name in ("i-1", "i-2"):
+        fleet.endpoint_by_name[name].state.work_s = 5.0
+    request = request_id()
+    connection = http.client.HTTPConnection("127.0.0.1", fleet.entries[0].front, timeout=10)
+    headers = {"Host": "h.example", "Request-Id": request, "Deadline-Ms": "4000"}
+    connection.request("GET", "/safe/x/", headers=headers)
+    wait_until(lambda: fleet.runs(request) == 1, "the call runs")
+    connection.close()
+    wait_until(lambda: _was_cut(fleet, request), "the endpoint stops", timeout_s=2.0)
+    wait_until(
+        lambda: any(
+            event["request"] == request and event["outcome"] == "caller-left"
+            for event in fleet.entries[0].events("call_ended")
+        ),
+        "the log tells of it",
+    )
+
+
+def _was_cut(fleet, request):
+    return any(request in item.state.cut for item in fleet.endpoint_by_name.values())
+
+
+def test_stop_cuts_no_call_and_leaves_the_directory_first(fleet, request_id):
+    for name in ("i-1", "i-2"):
+        fleet.endpoint_by_name[name].state.work_s = 0.3
+    stopping, other = fleet.entries
+    with ThreadPoolExecutor(20) as pool:
+        calls = [
+            pool.submit(fleet.call, stopping, "POST", "/unsafe/x/", request=request_id(), body=b"b")
+            for _ in range(16)
+        ]
+        stopping.signal(signal.SIGTERM)
+        wait_until(lambda: not stopping.is_ready(), "the entry is not ready", timeout_s=1.0)
+        late = [
+            pool.submit(fleet.call, stopping, "GET", "/safe/x/", request=request_id())
+            for _ in range(4)
+        ]
+        assert {item.result()[0] for item in [*calls, *late]} == {200}
+    wait_until(lambda: stopping.process.poll() == 0, "the entry exits")
+    assert stopping.events("entry_stopped")[-1]["cut"] == 0
+    wait_until(
+        lambda: other.lookup("h.example", stopping.zone) == [f"127.0.0.1:{other.front}"],
+        "the other entry carries its callers",
+    )
+
+
+def test_hangup_reloads_and_keeps_serving(fleet, request_id):
+    entry = fleet.entries[0]
+    entry.signal(signal.SIGHUP)
+    wait_until(lambda: entry.events("settings_reloaded"), "the settings are read again")
+    assert fleet.call(entry, "GET", "/safe/x/", request=request_id())[0] == 200
+
+
+@pytest.mark.parametrize(
+    "sent",
+    [
+        b"\r\n\r\n",
+        b"GARBAGE\r\n\r\n",
+        b"GET /safe/x/ HTTP/1.1\r\nHost: h.example\r\nContent-Length: ten\r\n\r\n",
+        b"POST /unsafe/x/ HTTP/1.1\r\nHost: h.example\r\nRequest-Id: q\r\n"
+        b"Content-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+        b"POST /unsafe/x/ HTTP/1.1\r\nHost: h.example\r\nContent-Length: 99999999\r\n\r\n",
+    ],
+)
+def test_what_is_no_proper_request_runs_nothing_and_harms_nobody(fleet, request_id, sent):
+    import socket
+
+    with socket.create_connection(("127.0.0.1", fleet.entries[0].front), timeout=5) as caller:
+        caller.sendall(sent)
+        caller.shutdown(socket.SHUT_WR)
+        answer = caller.recv(65536)
+    assert not answer.startswith(b"HTTP/1.1 2")
+    assert all(item.state.ran == [] for item in fleet.endpoint_by_name.values())
+    assert fleet.call(fleet.entries[0], "GET", "/safe/x/", request=request_id())[0] == 200
+
+
+def test_metrics_and_logs_lead_from_a_request_to_its_cause(fleet, request_id):
+    entry = fleet.entries[0]
+    request = request_id()
+    fleet.call(entry, "GET", "/safe/x/", request=request)
+    wait_until(
+        lambda: [event for event in entry.events("call_ended") if event["request"] == request],
+        "the call's line",
+    )
+    [line] = [event for event in entry.events("call_ended") if event["request"] == request]
+    assert (line["service"], line["outcome"], line["status"]) == ("one", "ran", 200)
+    assert line["version"] == fleet.version
+    assert any("sent i-" in step for step in line["steps"])
+    status, body = entry.ask(entry.metrics_port, "/metrics")
+    assert status == 200
+    assert b"cassiahaven_calls_total" in body
