--- a/packages/cassiahaven-entry/cassiahaven_entry/caller_dialect.py
+++ b/packages/cassiahaven-entry/cassiahaven_entry/caller_dialect.py
@@ -16,12 +16,13 @@
 class RequestRejected(Exception):
     """Report a request that cannot become a call."""
 
-    __slots__ = ("service", "reason")
+    __slots__ = ("service", "reason", "request_id")
 
-    def __init__(self, service: str, reason: RefusalReason) -> None:
+    def __init__(self, service: str, reason: RefusalReason, request_id: str | None = None) -> None:
         super().__init__(reason.value)
         self.service = service
         self.reason = reason
+        self.request_id = request_id
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/cassiahaven-entry/cassiahaven_entry/gateway.py
+++ b/packages/cassiahaven-entry/cassiahaven_entry/gateway.py
@@ -116,8 +116,13 @@
             head = self._dialect.read_head(environ)
             request = self._read(environ, head)
         except RequestRejected as error:
-            log(LogEvent.REQUEST_REJECTED, reason=error.reason.value, target=environ[TARGET][:200])
-            request_id = head.request_id if head is not None else None
+            log(
+                LogEvent.REQUEST_REJECTED,
+                request=head.request_id if head is not None else error.request_id,
+                reason=error.reason.value,
+                target=environ[TARGET][:200],
+            )
+            request_id = head.request_id if head is not None else error.request_id
             outcome = NotRun(error.reason)
             return self._dialect.own_answer(error.service, outcome, request_id=request_id)
         with watching(environ.get(CONNECTION)):
--- a/tests/test_platform_translation.py
+++ b/tests/test_platform_translation.py
@@ -15,6 +15,7 @@
 from cassiahaven_core.outcome import NotRun, Unknown
 from cassiahaven_core.reason import RefusalReason, UnknownReason
 from cassiahaven_core.route import RoutingTable
+from cassiahaven_entry.caller_dialect import RequestRejected
 from cassiahaven_platform.dialects import (
     PlatformCallers,
     PlatformUpstreams,
@@ -301,6 +302,19 @@
     assert callers.read_head(environ | {"HTTP_DEADLINE_MS": "soon"}).timeout_ms is None
 
 
+def test_before_a_configuration_is_known_no_call_is_refused_for_what_it_holds():
+    environ = {
+        "HTTP_HOST": "h",
+        "HTTP_REQUEST_ID": "r1",
+        "CONTENT_LENGTH": "5000",
+        "cassiahaven.target": "/",
+    }
+    with pytest.raises(RequestRejected) as caught:
+        PlatformCallers(RoutingTable()).read_head(environ)
+    assert caught.value.reason is RefusalReason.NOT_CONFIGURED
+    assert caught.value.request_id == "r1"
+
+
 def test_directory_and_readiness():
     member = decode_member(
         stored({"process": "p", "zone": "a", "callers": "h:1", "peers": "h:2", "cores": 1.0}, "m")
