--- a/packages/cassiahaven-core/tests/test_settings.py
+++ b/packages/cassiahaven-core/tests/test_settings.py
@@ -5,7 +5,7 @@
 
 from cassiahaven_core.declaration import KnownNames, read_declarations
 from cassiahaven_core.finding import InvalidDocument
-from cassiahaven_core.settings import read_settings
+from cassiahaven_core.settings_reader import read_settings
 
 VALID = {
     "cluster": "koledar",
--- a/packages/cassiahaven-entry/cassiahaven_entry/main.py
+++ b/packages/cassiahaven-entry/cassiahaven_entry/main.py
@@ -17,7 +17,8 @@
 from eventlet.event import Event
 
 from cassiahaven_core.finding import InvalidDocument
-from cassiahaven_core.settings import Settings, read_settings
+from cassiahaven_core.settings import Settings
+from cassiahaven_core.settings_reader import read_settings
 from cassiahaven_entry.header_dialect import HeaderDialect
 from cassiahaven_entry.http_probe import HttpProbe
 from cassiahaven_entry.http_store import HttpObjectStore
--- a/tests/test_examples.py
+++ b/tests/test_examples.py
@@ -7,7 +7,7 @@
 import yaml
 
 from cassiahaven_core.declaration import KnownNames, read_declarations
-from cassiahaven_core.settings import read_settings
+from cassiahaven_core.settings_reader import read_settings
 from cassiahaven_entry.http_vm_list import vm_from_plain
 
 EXAMPLES = Path(__file__).parents[1] / "examples"
