In a rush, leave slowing slots empty and refuse what could only be late

Endpoints of three slots took three calls and slowed all of them 1.7 times, so they served fewer than two at a time would; and calls that had waited 200 ms of their 300 ms target were sent before fresh ones. Ruled out: noise (probed), refusals by the store's state.

--- a/packages/cassiahaven-core/cassiahaven_core/admission.py
+++ b/packages/cassiahaven-core/cassiahaven_core/admission.py
@@ -17,6 +17,7 @@
         tried: Endpoints that it was sent to before.
         priority: Rank among the calls that wait, 0 is served first.
         target_at_ms: Until when an answer is of full use.
+        start_by_ms: Until when it must be sent for that.
         most_attempts: Endpoints that it may be sent to.
     """
 
@@ -28,6 +29,7 @@
     tried: frozenset[str] = frozenset()
     priority: int = 0
     target_at_ms: float = float("inf")
+    start_by_ms: float = float("inf")
     most_attempts: int = 3
 
 
@@ -124,7 +126,7 @@
             if not state.queue_by_call or state.in_flight >= self._concurrency(state):
                 continue
             call = _first_in_time(state, now_ms)
-            key = (call.target_at_ms <= now_ms, call.priority, state.virtual_time)
+            key = (call.start_by_ms <= now_ms, call.priority, state.virtual_time)
             if best is None or key < best_key:
                 best, best_key = call, key
         return best
@@ -191,6 +193,6 @@
 def _first_in_time(state: PartnerState, now_ms: float) -> Waiting:
     calls = iter(state.queue_by_call.values())
     oldest = next(calls)
-    if oldest.target_at_ms > now_ms:
+    if oldest.start_by_ms > now_ms:
         return oldest
-    return next((call for call in calls if call.target_at_ms > now_ms), oldest)
+    return next((call for call in calls if call.start_by_ms > now_ms), oldest)
--- a/packages/cassiahaven-core/cassiahaven_core/pool.py
+++ b/packages/cassiahaven-core/cassiahaven_core/pool.py
@@ -6,6 +6,7 @@
 from random import Random
 from zlib import crc32
 
+from cassiahaven_core.crowding import NEARLY_FULL_SHARE, Crowding
 from cassiahaven_core.lifecycle import SERVING, EndpointEvent, EndpointStatus, next_status
 
 MS_PER_S = 1000.0
@@ -21,7 +22,6 @@
 WARM_UP_MS = 2000.0
 COLD_PENALTY = 2.0
 OCCUPANCY_COST = 0.2
-NEARLY_FULL_SHARE = 0.8  # endpoints slow down when more of their slots than this are taken
 NEARLY_FULL_COST = 1.5
 FULL_COST = 4.0  # behind a full endpoint a call waits for about as long as it takes itself, twice
 COST_PER_DISTANCE_MS = 2.4  # half of what a slow neighbour costs: bytes between zones are paid for
@@ -141,6 +141,7 @@
     Attributes:
         slowdown: What was known of the endpoint's VM then, 1 as usual.
         is_sent: Whether the endpoint can know of the call.
+        is_nearly_full: Whether it takes one of the endpoint's last slots.
     """
 
     partner: str
@@ -148,6 +149,7 @@
     usual_ms: float
     slowdown: float = 1.0
     is_sent: bool = False
+    is_nearly_full: bool = False
 
 
 @dataclass(slots=True)
@@ -208,6 +210,7 @@
         "_ejected",
         "_serving",
         "_usual_slowdown",
+        "_crowding",
     )
 
     def __init__(self, *, share: SlotShare = WHOLE_SHARE, rng: Random | None = None) -> None:
@@ -218,6 +221,7 @@
         self._ejected: set[str] = set()
         self._serving: list[Endpoint] = []
         self._usual_slowdown = 1.0
+        self._crowding = Crowding()
 
     def set_endpoints(self, addresses: list[EndpointAddress], now_ms: float) -> None:
         """Take in the listed endpoints; a new incarnation starts without its past."""
@@ -271,6 +275,10 @@
         """Return the slots of all endpoints that may be given work."""
         return sum(endpoint.address.slots for endpoint in self._serving)
 
+    def usable_slots(self) -> int:
+        """Return the calls that this entry keeps at those endpoints together."""
+        return sum(self._crowding.limit(endpoint.limit) for endpoint in self._serving)
+
     def has_due_trial(self, now_ms: float) -> bool:
         """Tell whether an ejected endpoint may be given one idempotent call."""
         return any(self._is_due(self.endpoint_by_id[name], now_ms) for name in self._ejected)
@@ -296,7 +304,7 @@
         best: Endpoint | None = None
         best_cost = float("inf")
         for endpoint in self._serving:
-            if len(endpoint.started_by_call) >= endpoint.limit:
+            if len(endpoint.started_by_call) >= self._crowding.limit(endpoint.limit):
                 continue
             if excluded and endpoint.address.endpoint in excluded:
                 continue
@@ -308,8 +316,14 @@
     def start(self, endpoint: Endpoint, call_id: str, partner: str, now_ms: float) -> None:
         """Count ``call_id`` as in flight at ``endpoint``."""
         slowdown = self._expected_slowdown(endpoint, now_ms)
-        started = Started(partner, now_ms, self.usual_ms(partner), slowdown)
-        endpoint.started_by_call[call_id] = started
+        taken = len(endpoint.started_by_call) + self._others_in_flight(endpoint, now_ms)
+        endpoint.started_by_call[call_id] = Started(
+            partner,
+            now_ms,
+            self.usual_ms(partner),
+            slowdown,
+            is_nearly_full=taken + 1 > endpoint.address.slots * NEARLY_FULL_SHARE,
+        )
 
     def finish(self, name: str, call_id: str, result: CallResult, now_ms: float) -> None:
         """Learn from the end of a call."""
@@ -439,6 +453,11 @@
             SHORTEST_USUAL_MS, usual_ms + PARTNER_TIME_SMOOTHING * (took_ms - usual_ms)
         )
         ratio = min(LARGEST_SLOWNESS, took_ms / usual_ms)
+        taken = len(endpoint.started_by_call) + 1 + self._others_in_flight(endpoint, now_ms)
+        is_nearly_full = taken > endpoint.address.slots * NEARLY_FULL_SHARE
+        # Where that changed while the call ran, its time tells nothing.
+        if is_nearly_full == started.is_nearly_full:
+            self._crowding.learn(ratio, is_nearly_full=is_nearly_full)
         smoothed = endpoint.slowness + SLOWNESS_SMOOTHING * (ratio - endpoint.slowness)
         endpoint.slowness = max(SMALLEST_SLOWNESS, smoothed)
         endpoint.consecutive_failures = 0
--- a/packages/cassiahaven-core/cassiahaven_core/service.py
+++ b/packages/cassiahaven-core/cassiahaven_core/service.py
@@ -75,11 +75,14 @@
         """
         if call.deadline_ms <= now_ms:
             return [Refuse(call.call_id, RefusalReason.DEADLINE_EXCEEDED)]
+        call = replace(call, start_by_ms=call.target_at_ms - self.pool.usual_ms(call.partner))
         if not self._may_serve(call, now_ms):
             return [Refuse(call.call_id, RefusalReason.NO_UPSTREAM)]
         if self.admission.waiting:
-            wait_ms = self._expected_wait_ms(call)
-            if wait_ms > call.deadline_ms - now_ms:
+            # A call that would be late stands behind those that would not, so in a rush it only
+            # waits for its deadline; its caller does better to come back.
+            starts_ms = now_ms + self._expected_wait_ms(call)
+            if starts_ms > min(call.start_by_ms, call.deadline_ms):
                 return [Refuse(call.call_id, RefusalReason.WAIT_TOO_LONG)]
         reason = self.admission.admit(call, now_ms)
         if reason is not None:
@@ -213,7 +216,7 @@
         return call.idempotent and self.pool.has_due_trial(now_ms)
 
     def _expected_wait_ms(self, call: Waiting) -> float:
-        slots = self.pool.serving_slots()
+        slots = self.pool.usable_slots()
         if not slots or call.partner not in self.admission.partner_by_name:
             return 0.0
         ahead = self.admission.ahead_of(call.partner, call.priority)
@@ -227,5 +230,5 @@
         calls = self.admission.waiting_calls()
         if not calls:
             return []
-        slots = self.pool.serving_slots()
+        slots = self.pool.usable_slots()
         return hopeless_calls(calls, self.pool.usual_ms, slots=slots, now_ms=now_ms)
--- a/packages/cassiahaven-core/tests/test_worst_load.py
+++ b/packages/cassiahaven-core/tests/test_worst_load.py
@@ -156,6 +156,61 @@
     assert order == ["order", "lookup", "late"]
 
 
+def test_a_call_that_can_no_longer_be_answered_in_time_lets_fresh_ones_pass():
+    made = policy(endpoints=1, slots=1)
+    made.pool.usual_ms_by_partner["lookup"] = WORK_MS
+    made.arrive(call("running"), 0.0)
+    made.arrive(call("old"), 0.0)
+    made.arrive(call("fresh", at_ms=150.0), 150.0)
+    [effect] = made.finish(call("running"), "a0", CallResult.OK, TARGET_MS - WORK_MS + 1)
+    assert effect.call_id == "fresh"
+
+
+def rush(*, slowed_by, arrivals_per_s=40.0, endpoints=2, slots=3, duration_ms=20_000.0):
+    """Replay a rush at endpoints that slow down when nearly full; return calls answered in time."""
+    made = policy(endpoints=endpoints, slots=slots)
+    made.pool.usual_ms_by_partner["lookup"] = WORK_MS
+    left_by_call, began, in_time = {}, {}, 0
+
+    def take(effects):
+        for effect in effects:
+            if isinstance(effect, Dispatch):
+                left_by_call[effect.call_id] = [effect.address.endpoint, WORK_MS]
+                made.pool.mark_sent(effect.address.endpoint, effect.call_id)
+
+    step_ms, due, number = 5.0, 0.0, 0
+    for tick in range(int(duration_ms / step_ms)):
+        now_ms = tick * step_ms
+        while due <= now_ms:
+            began[str(number)] = now_ms
+            take(made.arrive(call(str(number), at_ms=now_ms), now_ms))
+            due += 1000.0 / arrivals_per_s
+            number += 1
+        running = Counter(endpoint for endpoint, _ in left_by_call.values())
+        for name, work in list(left_by_call.items()):
+            is_crowded = running[work[0]] > slots * 0.8
+            work[1] -= step_ms / (slowed_by if is_crowded else 1.0)
+            if work[1] <= 0:
+                del left_by_call[name]
+                in_time += now_ms - began[name] <= TARGET_MS
+                take(made.finish(call(name), work[0], CallResult.OK, now_ms))
+        if tick % 4 == 0:
+            take(made.tick(now_ms))
+    return in_time, made
+
+
+def test_last_slots_stay_empty_where_they_slow_the_others():
+    crowded, made = rush(slowed_by=1.7)
+    assert made.pool._crowding.limit(3) == 2
+    every_slot_used = 2 * 3 / 1.7 / WORK_MS * 20_000
+    assert crowded > every_slot_used * 0.9
+
+
+def test_last_slots_are_used_where_they_cost_nothing():
+    _, made = rush(slowed_by=1.0)
+    assert made.pool._crowding.limit(3) == 3
+
+
 def test_a_backlog_longer_than_callers_wait_is_refused_at_once():
     made = policy(endpoints=1, slots=1)
     made.pool.usual_ms_by_partner["lookup"] = WORK_MS
@@ -173,10 +228,23 @@
     made.arrive(call("running"), 0.0)
     made.arrive(call("lookup", priority=2, deadline_ms=400.0), 0.0)
     for number in range(4):
-        made.arrive(call(f"order{number}", route="order", priority=0), 1.0)
+        made.arrive(call(f"order{number}", route="order", priority=0, target_ms=900.0), 1.0)
+    assert made.admission.waiting == 5
     assert made.tick(2.0) == [Refuse("lookup", RefusalReason.WAIT_TOO_LONG)]
 
 
+def test_a_call_that_could_only_be_late_is_refused_while_others_wait():
+    made = policy(endpoints=1, slots=1)
+    made.pool.usual_ms_by_partner["lookup"] = WORK_MS
+    for number in range(3):
+        made.arrive(call(str(number)), 0.0)
+    assert made.arrive(call("late"), 1.0) == [Refuse("late", RefusalReason.WAIT_TOO_LONG)]
+    made.arrive(call("patient", target_ms=900.0), 1.0)
+    # The first two waited until they can only be late, and one that can be in time still waits.
+    refused = made.tick(TARGET_MS - WORK_MS + 1)
+    assert {item.call_id for item in refused} == {"1", "2"}
+
+
 @given(st.lists(st.floats(50, 2000), max_size=20), st.integers(1, 4))
 def test_what_is_not_refused_can_start_in_time(deadlines, slots):
     calls = [call(str(n), deadline_ms=value) for n, value in enumerate(deadlines)]
