--- a/packages/cassiahaven-entry/cassiahaven_entry/store_feed.py
+++ b/packages/cassiahaven-entry/cassiahaven_entry/store_feed.py
@@ -3,6 +3,8 @@
 from collections.abc import Callable
 
 import eventlet
+from eventlet.hubs import get_hub
+from greenlet import getcurrent, greenlet
 
 from cassiahaven_core.edge import (
     FleetChange,
@@ -20,6 +22,10 @@
 IDLE_INTERVAL_MS = 100.0
 
 
+class WatchRestarted(Exception):
+    """End a watch that may wait on a dead connection; raised inside its own task."""
+
+
 class StoreFeed:
     """Follow all topics of the store, as long as this entry is asked to.
 
@@ -44,6 +50,7 @@
         self._is_wanted = is_wanted
         self._on_changes = on_changes
         self._on_store = on_store
+        self._watching_tasks: set[greenlet] = set()
 
     @property
     def age_ms(self) -> float:
@@ -64,6 +71,8 @@
                 continue
             try:
                 changes = self._next(topic, revision)
+            except WatchRestarted:
+                continue
             except HistoryGone:
                 log(LogEvent.STORE_HISTORY_GONE, topic=topic.value, revision=revision)
                 revision = None
@@ -103,11 +112,28 @@
         event = LogEvent.STORE_AVAILABLE if is_available else LogEvent.STORE_UNAVAILABLE
         log(event, detail=detail)
         self._on_store(is_available)
+        if is_available:
+            self._restart_watches()
 
     def _next(self, topic: Topic, revision: int | None) -> FleetChanges:
         if revision is None:
             return self._store.read(topic)
-        return self._store.watch(topic, revision=revision, wait_ms=WATCH_WAIT_MS)
+        task = getcurrent()
+        self._watching_tasks.add(task)
+        try:
+            return self._store.watch(topic, revision=revision, wait_ms=WATCH_WAIT_MS)
+        finally:
+            self._watching_tasks.discard(task)
+
+    def _restart_watches(self) -> None:
+        # What broke one connection may have silenced the others, and a watch that waits on a dead
+        # one would miss every change until its time is over.
+        for task in self._watching_tasks - {getcurrent()}:
+            get_hub().schedule_call_global(0, self._restart, task)
+
+    def _restart(self, task: greenlet) -> None:
+        if task in self._watching_tasks:
+            task.throw(WatchRestarted())
 
     def _report_findings(self, topic: Topic, changes: list[FleetChange]) -> None:
         for change in changes:
--- a/packages/cassiahaven-standins/cassiahaven_standins/platform_soak.py
+++ b/packages/cassiahaven-standins/cassiahaven_standins/platform_soak.py
@@ -1,8 +1,8 @@
 """Random faults against real entries, with the promises checked while they run.
 
-``python -m cassiahaven_standins.platform_soak --seed 7 --seconds 20`` prints a JSON line: the faults
-that were injected, the calls by answer, and the promises that were broken. It exits with 1 if there
-are any.
+``python -m cassiahaven_standins.platform_soak --seed 7 --seconds 20`` prints a JSON line: the
+faults that were injected, the calls by answer, and the promises that were broken. It exits with 1
+if there are any.
 """
 
 import json
--- a/packages/cassiahaven-standins/cassiahaven_standins/platform_store.py
+++ b/packages/cassiahaven-standins/cassiahaven_standins/platform_store.py
@@ -61,21 +61,23 @@
             self.forgotten = self.revision
             self.history.clear()
 
-    def items(self, kind: str) -> list[dict[str, Any]]:
-        """Return all objects of a kind."""
+    def items(self, kind: str) -> tuple[list[dict[str, Any]], int]:
+        """Return all objects of a kind and the revision that they stand at."""
         with self.lock:
-            return [item for (other, _), item in self.object_by_key.items() if other == kind]
+            found = [item for (other, _), item in self.object_by_key.items() if other == kind]
+            return found, self.revision
 
-    def events(self, kind: str, revision: int) -> list[dict[str, Any]] | None:
-        """Return what changed after ``revision``, ``None`` if that is forgotten."""
+    def events(self, kind: str, revision: int) -> tuple[list[dict[str, Any]] | None, int]:
+        """Return what changed after ``revision``, ``None`` if that is forgotten, and up to when."""
         with self.lock:
             if revision < self.forgotten:
-                return None
-            return [
+                return None, self.revision
+            found = [
                 {"object": stored, "deleted": deleted}
                 for at, other, stored, deleted in self.history
                 if at > revision and other == kind
             ]
+            return found, self.revision
 
 
 class _Handler(BaseHTTPRequestHandler):
@@ -92,8 +94,8 @@
             stored = self.state.object_by_key.get((kind, name))
             self._send(200 if stored else 404, stored)
         else:
-            items = self.state.items(kind)
-            self._send(200, {"items": items, "more": False, "storeRevision": self.state.revision})
+            items, revision = self.state.items(kind)
+            self._send(200, {"items": items, "more": False, "storeRevision": revision})
 
     def do_POST(self) -> None:
         kind, _, _ = self._parts()
@@ -127,12 +129,12 @@
     def _watch(self, kind: str, revision: int, wait_ms: int) -> None:
         give_up = time.monotonic() + wait_ms / 1000
         while True:
-            events = self.state.events(kind, revision)
+            events, at = self.state.events(kind, revision)
             if events is None:
                 self._send(410, None)
                 return
             if events or time.monotonic() >= give_up or self.state.is_down:
-                plain = {"events": events, "storeRevision": self.state.revision}
+                plain = {"events": events, "storeRevision": at}
                 self._send(503 if self.state.is_down else 200, plain)
                 return
             threading.Event().wait(POLL_S)
