--- a/packages/cassiahaven-core/cassiahaven_core/edge.py
+++ b/packages/cassiahaven-core/cassiahaven_core/edge.py
@@ -133,14 +133,6 @@
             StoreUnavailable: The store gave no answer.
         """
 
-    @abstractmethod
-    def unregister(self, member: Member) -> None:
-        """Remove a member that leaves.
-
-        Raises:
-            StoreUnavailable: The store gave no answer.
-        """
-
     @abstractmethod
     def check(self) -> None:
         """Ask the store for as little as possible.
--- a/packages/cassiahaven-entry/tests/test_store_feed.py
+++ b/packages/cassiahaven-entry/tests/test_store_feed.py
@@ -25,9 +25,6 @@
     def register(self, member):
         pass
 
-    def unregister(self, member):
-        pass
-
     def check(self):
         pass
 
