--- a/packages/cassiahaven-entry/cassiahaven_entry/fleet_links.py
+++ b/packages/cassiahaven-entry/cassiahaven_entry/fleet_links.py
@@ -25,6 +25,7 @@
 
 REPORT_INTERVAL_MS = 500.0
 UNREACHABLE_MS = 3000.0  # an entry that restarts is back within this time
+GATHER_MS = 100.0  # changes come in rows; a twentieth of the time that they may take
 REQUEST_TIMEOUT_MS = 400.0
 CLUSTER = "fleet"
 
@@ -152,6 +153,8 @@
         self._key = key
         self._name_by_connection: dict[str, str] = {}
         self._published: WatcherReport | None = None
+        self._published_ms = float("-inf")
+        self._is_report_due = False
         host, _, port = fleet.own.peers.rpartition(":")
         self._server = PeerServer(
             host,
@@ -184,9 +187,22 @@
             eventlet.sleep(REPORT_INTERVAL_MS / MS_PER_S)
 
     def publish_report(self) -> None:
-        """Tell the subscribers what this entry has, now; in short if they know it already."""
+        """Tell the subscribers what this entry has, at once or gathered with what follows soon."""
+        if self._is_report_due:
+            return
+        wait_ms = self._published_ms + GATHER_MS - now_ms()
+        if wait_ms <= 0:
+            self._publish_report()
+            return
+        self._is_report_due = True
+        eventlet.spawn_after(wait_ms / MS_PER_S, self._publish_report)
+
+    def _publish_report(self) -> None:
+        self._is_report_due = False
         if not self.has_subscribers:
             return
+        self._published_ms = now_ms()
+        # Those who know it already only hear that it still holds.
         report = self._state.report()
         is_known = replace(report, store_age_ms=0.0) == self._published
         self._published = replace(report, store_age_ms=0.0)
@@ -199,10 +215,13 @@
             link.send(message)
 
     def close(self) -> None:
-        """End all links."""
+        """End all links at once.
+
+        Closing handshakes with every subscriber would outlast the time that a stop has left.
+        """
         for link in self.link_by_name.values():
-            link.close()
-        self._server.close()
+            link.drop()
+        self._server.drop()
 
     def greeting(self) -> list[PeerMessage]:
         """Return what a new subscriber is told."""
--- a/packages/cassiahaven-entry/cassiahaven_entry/peer_dialer.py
+++ b/packages/cassiahaven-entry/cassiahaven_entry/peer_dialer.py
@@ -58,6 +58,12 @@
         if self._connection is not None:
             self._connection.close()
 
+    def drop(self) -> None:
+        """End the link without a closing handshake."""
+        self._is_closed = True
+        if self._connection is not None:
+            self._connection.close_socket()
+
     def send(self, message: PeerMessage) -> bool:
         """Send ``message`` and tell whether it left this process."""
         if self._connection is None:
--- a/packages/cassiahaven-entry/cassiahaven_entry/peer_server.py
+++ b/packages/cassiahaven-entry/cassiahaven_entry/peer_server.py
@@ -74,6 +74,12 @@
         for connection in list(self._subscribers):
             connection.close()
 
+    def drop(self) -> None:
+        """Stop accepting and drop all peers without closing handshakes."""
+        self._server.shutdown()
+        for connection in list(self._subscribers):
+            connection.close_socket()
+
     def publish(self, message: PeerMessage) -> None:
         """Send ``message`` to every subscriber."""
         data = encode(message)
--- a/packages/cassiahaven-entry/cassiahaven_entry/store_feed.py
+++ b/packages/cassiahaven-entry/cassiahaven_entry/store_feed.py
@@ -19,6 +19,7 @@
 
 WATCH_WAIT_MS = 20_000  # each return costs a call; the checks below tell a dead watch
 CHECK_INTERVAL_MS = 700.0  # two checks missed leave time for another entry to take over
+GATHER_MS = 100.0  # each return of a watch costs a call, and changes come in rows
 IDLE_INTERVAL_MS = 100.0
 
 
@@ -84,6 +85,8 @@
             revision = changes.revision
             self._report_findings(topic, changes.changes)
             self._on_changes(topic, changes)
+            if not changes.is_whole:
+                eventlet.sleep(GATHER_MS / MS_PER_S)
 
     def check(self) -> None:
         """Ask the store now and then whether it still answers, for ever.
--- a/tests/test_platform_path.py
+++ b/tests/test_platform_path.py
@@ -10,7 +10,7 @@
 import pytest
 
 from cassiahaven_standins.fleet import wait_until
-from cassiahaven_standins.platform_fleet import platform_fleet
+from cassiahaven_standins.platform_fleet import GRACE_MS, platform_fleet
 
 CONFIG_BOUND_S = 2.0
 DRAIN_BOUND_S = 2.0
@@ -289,3 +289,25 @@
     status, body = entry.ask(entry.metrics_port, "/metrics")
     assert status == 200
     assert b"cassiahaven_calls_total" in body
+
+
+def test_stopped_entry_exits_in_time_however_many_follow_it(tmp_path):
+    with platform_fleet(tmp_path, entries=6) as fleet:
+        fleet.add_endpoint("i-1", "one")
+        fleet.configure({"x": "one"})
+        fleet.start()
+        wait_until(
+            lambda: all(
+                len(entry.events("live_entries_changed")) > 0
+                and entry.events("live_entries_changed")[-1]["live"] == len(fleet.entries)
+                for entry in fleet.entries
+            ),
+            "every entry hears of all",
+        )
+        for entry in fleet.entries:
+            entry.signal(signal.SIGTERM)
+        started = time.monotonic()
+        for entry in fleet.entries:
+            wait_until(lambda entry=entry: entry.process.poll() is not None, "the entry exits")
+            assert entry.process.returncode == 0
+        assert time.monotonic() - started < GRACE_MS / 1000
