Suspect a crash at once, and take it back when the endpoint lives

A lost connection is a suspicion at once again; the endpoint is asked beside the retry, and if it lives the suspicion is taken back, so lost answers do not refuse a request. Routed entries pass on only what proved to be a crash.

--- a/packages/cassiahaven-core/cassiahaven_core/peer_message.py
+++ b/packages/cassiahaven-core/cassiahaven_core/peer_message.py
@@ -77,10 +77,15 @@
 
 @dataclass(frozen=True, slots=True)
 class CrashNotice:
-    """Tell that a request crashed an incarnation of an endpoint."""
+    """Tell that a request seems to have crashed an incarnation of an endpoint.
+
+    Attributes:
+        is_retracted: Whether the endpoint turned out to live after all.
+    """
 
     fingerprint: str
     incarnation: str
+    is_retracted: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/cassiahaven-core/cassiahaven_core/quarantine.py
+++ b/packages/cassiahaven-core/cassiahaven_core/quarantine.py
@@ -37,6 +37,16 @@
             del self.crashes_by_fingerprint[next(iter(self.crashes_by_fingerprint))]
         return is_news
 
+    def retract(self, fingerprint: str, incarnation: str) -> None:
+        """Forget a suspected crash: the endpoint turned out to live."""
+        crashes = self.crashes_by_fingerprint.get(fingerprint)
+        if crashes is not None:
+            crashes.pop(incarnation, None)
+
+    def has_recorded(self, fingerprint: str, incarnation: str) -> bool:
+        """Tell whether a crash is recorded and was not retracted."""
+        return incarnation in self.crashes_by_fingerprint.get(fingerprint, {})
+
     def refuses(self, fingerprint: str, now_ms: float) -> bool:
         """Tell whether the request is to be refused."""
         crashes = self.crashes_by_fingerprint.get(fingerprint)
--- a/packages/cassiahaven-core/tests/test_worst_load.py
+++ b/packages/cassiahaven-core/tests/test_worst_load.py
@@ -9,6 +9,7 @@
 
 from cassiahaven_core.admission import Admission, Waiting
 from cassiahaven_core.pool import CallResult, EndpointAddress, LoadReport, Pool, ProbeFailed
+from cassiahaven_core.quarantine import Quarantine
 from cassiahaven_core.reason import RefusalReason
 from cassiahaven_core.retry import RetryBudget, RetryTerms
 from cassiahaven_core.schedule import hopeless_calls
@@ -296,3 +297,14 @@
     _, [again] = made.retry(call("1"), CallResult.CONNECTION_LOST, tried, 1.0)
     report = LoadReport(0, 0, SLOWED)
     assert made.measured(call("1"), again.address.endpoint, report, 1.0, tried=tried) is None
+
+
+def test_a_suspicion_that_is_retracted_refuses_nothing():
+    quarantine = Quarantine()
+    quarantine.record("f", "e1/1", 0.0)
+    quarantine.record("f", "e2/1", 0.0)
+    assert quarantine.refuses("f", 1.0)
+    quarantine.retract("f", "e1/1")
+    assert not quarantine.refuses("f", 1.0)
+    assert not quarantine.has_recorded("f", "e1/1")
+    assert quarantine.has_recorded("f", "e2/1")
--- a/packages/cassiahaven-entry/cassiahaven_entry/attempts.py
+++ b/packages/cassiahaven-entry/cassiahaven_entry/attempts.py
@@ -1,7 +1,9 @@
 """The attempts of one call at upstreams."""
 
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
+
+import eventlet
 
 from cassiahaven_core.answer import LARGEST_KEPT_ANSWER_BYTES, Answer
 from cassiahaven_core.edge import (
@@ -71,7 +73,7 @@
         dialect: Way of speaking with upstreams.
         quarantine: Memory of requests that crash upstreams.
         on_drain: Called when an upstream says that it is leaving.
-        on_crash: Called with a crash that is news.
+        on_crash: Called with a suspected crash that is news, and when it is retracted.
     """
 
     def __init__(
@@ -244,12 +246,19 @@
         return effect
 
     def _note_crash(self, call: Call, address: EndpointAddress, failed: SendFailed) -> None:
-        # A lost connection alone is no crash: answers are lost on the way too.
-        if failed.result is not CallResult.CONNECTION_LOST or not self._transport.is_down(address):
+        if failed.result is not CallResult.CONNECTION_LOST:
             return
         incarnation = f"{address.endpoint}/{address.incarnation}"
         if self._quarantine.record(call.fingerprint, incarnation, now_ms()):
-            self._on_crash(CrashNotice(call.fingerprint, incarnation))
+            notice = CrashNotice(call.fingerprint, incarnation)
+            self._on_crash(notice)
+            eventlet.spawn_n(self._verify_crash, notice, address)
+
+    def _verify_crash(self, notice: CrashNotice, address: EndpointAddress) -> None:
+        """Take a suspicion back if the endpoint lives: answers are lost on the way too."""
+        if not self._transport.is_down(address):
+            self._quarantine.retract(notice.fingerprint, notice.incarnation)
+            self._on_crash(replace(notice, is_retracted=True))
 
 
 def _slowness_text(report: LoadReport | ProbeFailed) -> str:
--- a/packages/cassiahaven-entry/cassiahaven_entry/http_transport.py
+++ b/packages/cassiahaven-entry/cassiahaven_entry/http_transport.py
@@ -26,6 +26,7 @@
 from cassiahaven_entry._connection import PeekingConnection
 
 CONNECT_TIMEOUT_S = 0.5
+SETTLE_S = 0.1  # a dying process has closed everything by then, on a busy machine too
 UNACKNOWLEDGED_MS = 600  # a connection that went silent is given up while a retry still helps
 PART_BYTES = 65_536
 LARGEST_POOL = 32
@@ -135,14 +136,18 @@
         return self._dialect.read_health(response.status, value_by_name, address.endpoint)
 
     def is_down(self, address: EndpointAddress) -> bool:
-        """Tell whether the address refuses a new connection."""
+        """Tell whether the address refuses a new connection, or ends it at once.
+
+        A process that dies closes its connections one after the other, the listening one not first.
+        """
         try:
-            with socket.create_connection((address.host, address.port), CONNECT_TIMEOUT_S):
-                return False
-        except ConnectionRefusedError:
-            return True
-        except OSError:
+            with socket.create_connection((address.host, address.port), SETTLE_S) as probe:
+                probe.settimeout(SETTLE_S)
+                return not probe.recv(1)
+        except TimeoutError:
             return False
+        except OSError:
+            return True
 
     def forget(self, listed: set[tuple[str, str]]) -> None:
         """Close the pools of endpoint incarnations that are not in ``listed``."""
--- a/packages/cassiahaven-entry/cassiahaven_entry/node.py
+++ b/packages/cassiahaven-entry/cassiahaven_entry/node.py
@@ -249,6 +249,8 @@
                 self.tables.merge_rows(message, "peer")
             case DrainNotice():
                 self.endpoints.note_drain(message)
+            case CrashNotice(fingerprint=fingerprint, incarnation=incarnation, is_retracted=True):
+                self.quarantine.retract(fingerprint, incarnation)
             case CrashNotice(fingerprint=fingerprint, incarnation=incarnation):
                 self.quarantine.record(fingerprint, incarnation, now_ms())
             case ExplanationHandover(explanations=explanations):
@@ -268,6 +270,7 @@
             LogEvent.CRASH_RECORDED,
             fingerprint=notice.fingerprint,
             incarnation=notice.incarnation,
+            retracted=notice.is_retracted,
         )
         self.peer_server.publish(notice)
 
--- a/packages/cassiahaven-entry/cassiahaven_entry/routed_node.py
+++ b/packages/cassiahaven-entry/cassiahaven_entry/routed_node.py
@@ -48,6 +48,7 @@
 CARRIER_CORES = 0.8  # of a zone's carriers together; more of them know less each
 RETRY_SHARE_USED = 0.8  # the bound is judged on windows that end between our buckets
 PROBE_SHARE = 0.25  # of what an endpoint may get: other zones' carriers probe it too
+CRASH_PROOF_MS = 300.0  # an endpoint that lives has shown it by then
 PEER_KEY = "fleet"  # entries meet on a network that nobody else reaches
 
 
@@ -126,7 +127,7 @@
             self.quarantine,
             metrics=self._metrics,
             on_drain=self._on_drain,
-            on_crash=self._publish_crash,
+            on_crash=self._on_suspicion,
         )
         self.calls = RoutedCalls(
             self.process,
@@ -303,11 +304,19 @@
         if task is not None:
             task.drain(notice.endpoint, notice.incarnation, notice.reason)
 
+    def _on_suspicion(self, notice: CrashNotice) -> None:
+        # Lost answers are frequent on bad days, so only what proves to be a crash is passed on.
+        if not notice.is_retracted:
+            eventlet.spawn_after(CRASH_PROOF_MS / MS_PER_S, self._publish_crash, notice)
+
     def _publish_crash(self, notice: CrashNotice) -> None:
+        if not self.quarantine.has_recorded(notice.fingerprint, notice.incarnation):
+            return
         log(
             LogEvent.CRASH_RECORDED,
             fingerprint=notice.fingerprint,
             incarnation=notice.incarnation,
+            retracted=False,
         )
         self.links.publish(notice)
 
--- a/packages/cassiahaven-entry/tests/test_http_transport.py
+++ b/packages/cassiahaven-entry/tests/test_http_transport.py
@@ -168,3 +168,18 @@
     done = subprocess.run(command, capture_output=True, text=True, check=False, timeout=30)
     assert done.stdout.splitlines() == ["b'ok'"] * 3, done.stderr
     assert upstream.connections == 1
+
+
+def test_a_process_that_dies_counts_as_down_though_it_still_listens():
+    with socket.create_server(("127.0.0.1", 0)) as listener:
+        port = listener.getsockname()[1]
+        address = EndpointAddress("e", "1", "zone-a", "127.0.0.1", port, 1)
+        transport = HttpTransport(HeaderDialect())
+        assert not transport.is_down(address)
+        connection, _ = listener.accept()
+        connection.close()
+        closing = threading.Thread(target=lambda: listener.accept()[0].close())
+        closing.start()
+        assert transport.is_down(address)
+        closing.join()
+    assert transport.is_down(address)
