--- a/Makefile
+++ b/Makefile
@@ -30,6 +30,7 @@
 
 demo: setup
 	$(PYTHON) -m cassiahaven_standins.demo
+	$(PYTHON) -m cassiahaven_standins.platform_demo
 
 soak: setup
 	$(PYTHON) -m cassiahaven_standins.platform_soak --seed $(SEED) --seconds $(SECONDS)
--- /dev/null
+++ b/packages/cassiahaven-standins/cassiahaven_standins/platform_demo.py
@@ -0,0 +1,85 @@
+"""The platform path in separate processes: calls, a new configuration, a drain, a kill, a stop."""
+
+import signal
+import sys
+import tempfile
+from collections import Counter
+from collections.abc import Callable
+from concurrent.futures import ThreadPoolExecutor
+from itertools import count
+from pathlib import Path
+
+from cassiahaven_standins.fleet import wait_until
+from cassiahaven_standins.platform_fleet import Entry, PlatformFleet, platform_fleet
+
+CALLS = 60
+CALLERS = 6
+
+
+class Demo:
+    """Show each step on a fleet and count what callers got."""
+
+    def __init__(self, fleet: PlatformFleet) -> None:
+        self._fleet = fleet
+        self._numbers = count(1)
+        self._statuses: Counter = Counter()
+        self._runs_twice = 0
+
+    def run(self) -> int:
+        """Play all steps and return how many calls were lost, doubled or mixed up."""
+        first, second = self._fleet.entries
+        self._load("two entries, one carrier a zone", first)
+        self._fleet.configure({"x": "two"})
+        wait_until(lambda: self._answer(first).startswith(b"two"), "the configuration")
+        self._load("the route leads to another service", first)
+        self._fleet.drain("i-3")
+        self._load("an endpoint leaves", first)
+        first.signal(signal.SIGKILL)
+        wait_until(lambda: len(second.lookup("h.example", "a")) == 1, "a directory")
+        address = f"127.0.0.1:{second.front}"
+        wait_until(lambda: second.lookup("h.example", "a") == [address], "the successor")
+        self._load("the carrier was killed, its zone goes to the other entry", second)
+        first.start()
+        wait_until(first.is_ready, "the killed entry is back")
+        self._load("the other entry is stopped", second, lambda: second.signal(signal.SIGTERM))
+        wait_until(lambda: second.process.poll() == 0, "the entry exits")
+        wrong = sum(number for status, number in self._statuses.items() if status != 200)
+        print(f"calls by status: {dict(self._statuses)}; run twice: {self._runs_twice}")
+        return wrong + self._runs_twice
+
+    def _load(self, what: str, entry: Entry, act: Callable[[], None] = lambda: None) -> None:
+        with ThreadPoolExecutor(CALLERS) as callers:
+            started = [callers.submit(self._call, entry, n % 2 == 0) for n in range(CALLS)]
+            act()
+            statuses = Counter(item.result() for item in started)
+        self._statuses.update(statuses)
+        print(f"{what}: {dict(statuses)}")
+
+    def _call(self, entry: Entry, is_safe: bool) -> int:
+        request = f"demo-{next(self._numbers)}"
+        method, kind = ("GET", "safe") if is_safe else ("POST", "unsafe")
+        body = b"" if is_safe else b"order"
+        target = f"/{kind}/x/{request}"
+        status, answer, _ = self._fleet.call(entry, method, target, request=request, body=body)
+        is_whole = status != 200 or target.encode() in answer
+        self._runs_twice += not is_safe and self._fleet.runs(request) > 1
+        return status if is_whole else 0
+
+    def _answer(self, entry: Entry) -> bytes:
+        request = f"demo-{next(self._numbers)}"
+        return self._fleet.call(entry, "GET", "/safe/x/", request=request)[1]
+
+
+def main() -> None:
+    """Run the demo."""
+    with tempfile.TemporaryDirectory() as folder, platform_fleet(Path(folder)) as fleet:
+        for name, service in (("i-1", "one"), ("i-2", "one"), ("i-3", "two"), ("i-4", "two")):
+            fleet.add_endpoint(name, service)
+        fleet.configure({"x": "one"})
+        fleet.start()
+        wrong = Demo(fleet).run()
+    sys.exit(1 if wrong else 0)
+
+
+if __name__ == "__main__":
+    main()
