Ask the store before followers take it for unheard

The check of a quiet store ran on a fixed beat of 700 ms and skipped a beat when the last answer was a little younger, so answers got 1.4 s old. Followers accept 1.2 s, report included, and then watch the store themselves. Now the check is due when the last answer is 500 ms old.

The test fails without the change for answers 0, 1 and 250 ms after the task's start.

--- a/packages/cassiahaven-entry/cassiahaven_entry/store_feed.py
+++ b/packages/cassiahaven-entry/cassiahaven_entry/store_feed.py
@@ -18,9 +18,10 @@
 from cassiahaven_entry.event import LogEvent, log
 
 WATCH_WAIT_MS = 20_000  # each return costs a call; the checks below tell a dead watch
-CHECK_INTERVAL_MS = 700.0  # two checks missed leave time for another entry to take over
+LARGEST_ANSWER_AGE_MS = 500.0  # with a report's 500 ms on the way below what followers accept
 GATHER_MS = 100.0  # each return of a watch costs a call, and changes come in rows
 IDLE_INTERVAL_MS = 100.0
+ROUNDING_MS = 1.0  # timers may fire a little early
 
 
 class WatchRestarted(Exception):
@@ -93,11 +94,15 @@
 
         A watch that waits looks the same as one whose connection is dead.
         """
+        checked_ms = float("-inf")
         while True:
-            eventlet.sleep(CHECK_INTERVAL_MS / MS_PER_S)
+            # After a failed check the next one waits for as long as after an answer.
+            due_ms = max(self.seen_ms, checked_ms) + LARGEST_ANSWER_AGE_MS
+            eventlet.sleep(max(IDLE_INTERVAL_MS, due_ms - now_ms()) / MS_PER_S)
             is_wanted = any(self._is_wanted(topic) for topic in Topic)
-            if not is_wanted or self.age_ms < CHECK_INTERVAL_MS:
+            if not is_wanted or self.age_ms < LARGEST_ANSWER_AGE_MS - ROUNDING_MS:
                 continue
+            checked_ms = now_ms()
             try:
                 self._store.check()
             except StoreUnavailable as error:
--- a/packages/cassiahaven-entry/tests/test_store_feed.py
+++ b/packages/cassiahaven-entry/tests/test_store_feed.py
@@ -4,8 +4,12 @@
 import pytest
 
 from cassiahaven_core.edge import FleetChanges, FleetStore, StoreUnavailable, Topic
+from cassiahaven_core.membership import STORE_VIEW_MS
+from cassiahaven_entry.fleet_links import REPORT_INTERVAL_MS
 from cassiahaven_entry.store_feed import StoreFeed
 
+SLOW_ANSWER_MS = 100.0  # 25 times what the store takes as a rule
+
 
 class SilentStore(FleetStore):
     """Let the watch of one topic fail and those of the others wait for ever."""
@@ -53,3 +57,38 @@
     eventlet.sleep(0.3)
     for topic in Topic:
         assert store.watches.count(topic) == 2
+
+
+class EnoughChecks(Exception):
+    """End the endless task of a test."""
+
+
+class CheckedStore(SilentStore):
+    """Note how old the last answer is whenever the store is asked."""
+
+    def __init__(self):
+        super().__init__()
+        self.ages_ms = []
+        self.feed = None
+
+    def check(self):
+        self.ages_ms.append(self.feed.age_ms)
+        if len(self.ages_ms) == 5:
+            raise EnoughChecks
+
+
+@pytest.mark.parametrize("answered_after_ms", [0.0, 1.0, 250.0])
+def test_subscribers_of_a_quiet_store_never_take_it_for_unheard(clock, answered_after_ms):
+    store = CheckedStore()
+    store.feed = StoreFeed(
+        store,
+        is_wanted=lambda topic: True,
+        on_changes=lambda topic, changes: None,
+        on_store=lambda is_available: None,
+    )
+    clock.advance_ms(answered_after_ms)
+    store.feed.note(True)
+    clock.advance_ms(-answered_after_ms)
+    with pytest.raises(EnoughChecks):
+        store.feed.check()
+    assert max(store.ages_ms) + SLOW_ANSWER_MS + REPORT_INTERVAL_MS <= STORE_VIEW_MS
