Work out a service's endpoints only where calls need them

Cause: on the grown deployment 71 changes of endpoints reach each of 142 entries in the first seconds, and each entry set the pools of all services anew for each, though three carry callers. Now a pool is brought up to date when a call needs it, or at once while calls wait or are in flight. Also removed: a function of the gateway that stood there twice.

--- a/packages/cassiahaven-core/cassiahaven_core/admission.py
+++ b/packages/cassiahaven-core/cassiahaven_core/admission.py
@@ -63,6 +63,13 @@
         self.waiting = 0
         self._virtual_time = 0.0
 
+    @property
+    def is_idle(self) -> bool:
+        """Tell whether no call waits or is in flight."""
+        if self.waiting:
+            return False
+        return not any(state.in_flight for state in self.partner_by_name.values())
+
     def set_cell(self, partner: str, cell: CellValue, now_ms: float) -> None:
         """Put the partner's limits in force."""
         state = self.partner_by_name.get(partner)
--- a/packages/cassiahaven-core/cassiahaven_core/fleet_state.py
+++ b/packages/cassiahaven-core/cassiahaven_core/fleet_state.py
@@ -35,7 +35,8 @@
         changed = {
             name
             for name in items.keys() | self.item_by_name.keys()
-            if items.get(name) != self.item_by_name.get(name)
+            if items.get(name) is not self.item_by_name.get(name)
+            and items.get(name) != self.item_by_name.get(name)
         }
         if self.revision == 0:
             self._complete_since = revision
--- a/packages/cassiahaven-entry/cassiahaven_entry/fleet_view.py
+++ b/packages/cassiahaven-entry/cassiahaven_entry/fleet_view.py
@@ -1,6 +1,6 @@
 """This entry's copy of the fleet's state, from the store and from watchers."""
 
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Collection
 
 from cassiahaven_core.edge import FleetChanges, Topic
 from cassiahaven_core.fleet_state import (
@@ -39,7 +39,7 @@
         routing: RoutingTable,
         *,
         on_config: Callable[[GatewayConfig], None],
-        on_endpoints: Callable[[Iterable[Registration]], None],
+        on_endpoints: Callable[[Collection[Registration]], None],
         on_members: Callable[[], None],
     ) -> None:
         self.registry = EndpointRegistry()
--- a/packages/cassiahaven-entry/cassiahaven_entry/gateway.py
+++ b/packages/cassiahaven-entry/cassiahaven_entry/gateway.py
@@ -213,10 +213,3 @@
         return f"{int(status)} {HTTPStatus(status).phrase}"
     except ValueError:
         return f"{status} Unassigned"
-
-
-def _status_line(status: int) -> str:
-    try:
-        return f"{int(status)} {HTTPStatus(status).phrase}"
-    except ValueError:
-        return f"{status} Unassigned"
--- a/packages/cassiahaven-entry/cassiahaven_entry/routed_node.py
+++ b/packages/cassiahaven-entry/cassiahaven_entry/routed_node.py
@@ -1,7 +1,7 @@
 """The parts of an entry that learns routes and endpoints from its fleet's store."""
 
 import secrets
-from collections.abc import Iterable, Iterator
+from collections.abc import Collection, Iterator
 from contextlib import contextmanager
 
 import eventlet
@@ -70,7 +70,8 @@
         self._adapter = adapter
         self._metrics = metrics
         self._task_by_service: dict[str, ServiceTask] = {}
-        self._registrations: list[Registration] = []
+        self._registrations_by_service: dict[str, list[Registration]] = {}
+        self._outdated_services: set[str] = set()
         self._live: set[str] = set()
         self._started_ms = now_ms()
         self.process = f"{settings.name}-{secrets.token_hex(PROCESS_NAME_BYTES)}"
@@ -151,14 +152,20 @@
         ]
 
     def task(self, service: str) -> ServiceTask:
-        """Return the owner of a service's policy."""
+        """Return the owner of a service's policy, with the endpoints that are known now."""
+        task = self._known_task(service)
+        if service in self._outdated_services:
+            self._set_endpoints(service, task)
+        return task
+
+    def _known_task(self, service: str) -> ServiceTask:
         task = self._task_by_service.get(service)
         if task is None:
             task = ServiceTask(service, self.settings.availability_zone)
             self._task_by_service[service] = task
             task.policy.retry_budget.terms = self._retry_terms()
             task.policy.probes_per_s = self.settings.probes_per_s * PROBE_SHARE
-            self._set_endpoints(service, task)
+            self._outdated_services.add(service)
         return task
 
     def start(self) -> list[GreenThread]:
@@ -252,15 +259,22 @@
 
     def _on_config(self, config: GatewayConfig) -> None:
         for spec in config.service_by_name.values():
-            self.task(spec.name).health_path = spec.health_path
+            self._known_task(spec.name).health_path = spec.health_path
         self.links.publish_report()
 
-    def _on_endpoints(self, registrations: Iterable[Registration]) -> None:
-        self._registrations = list(registrations)
+    def _on_endpoints(self, registrations: Collection[Registration]) -> None:
+        before = self._registrations_by_service
+        self._registrations_by_service = {}
+        for item in registrations:
+            self._registrations_by_service.setdefault(item.service, []).append(item)
         for service, task in self._task_by_service.items():
-            self._set_endpoints(service, task)
-        listed = {(item.endpoint, item.incarnation) for item in self._registrations}
-        self.transport.forget(listed)
+            if self._registrations_by_service.get(service) == before.get(service):
+                continue
+            # Most entries carry no callers, and theirs would be worked out in vain.
+            self._outdated_services.add(service)
+            if not task.policy.admission.is_idle:
+                self._set_endpoints(service, task)
+        self.transport.forget({(item.endpoint, item.incarnation) for item in registrations})
         self.links.publish_report()
 
     def _on_members(self) -> None:
@@ -269,7 +283,8 @@
         self.links.publish_report()
 
     def _set_endpoints(self, service: str, task: ServiceTask) -> None:
-        registrations = [item for item in self._registrations if item.service == service]
+        self._outdated_services.discard(service)
+        registrations = self._registrations_by_service.get(service, [])
         task.set_endpoints([self._address(item) for item in registrations])
         for item in registrations:
             if item.is_draining:
