Let an endpoint be cold for as long as it says, called or not

Its registration says how long it is cold, which was decoded and not used. Ruled out: slots taken by others, probes (most of the calls were sent far without one). Now coldness ends by time; endpoints that do not tell are taken for cold for 2 s.

--- a/packages/cassiahaven-core/cassiahaven_core/pool.py
+++ b/packages/cassiahaven-core/cassiahaven_core/pool.py
@@ -19,7 +19,7 @@
 EJECTION_MS = 1000.0
 LONGEST_EJECTION_MS = 30_000.0
 LARGEST_EJECTED_SHARE = 0.5
-WARM_UP_MS = 2000.0
+USUAL_WARM_UP_MS = 2000.0  # for upstreams that do not tell
 COLD_PENALTY = 2.0
 OCCUPANCY_COST = 0.2
 NEARLY_FULL_COST = 1.5
@@ -70,6 +70,7 @@
         endpoint: Name that outlives restarts.
         incarnation: Changes with each start of the upstream's process.
         distance_ms: One-way time from this entry, milliseconds.
+        warm_up_ms: How long it stays slow after it was listed, milliseconds.
     """
 
     endpoint: str
@@ -79,6 +80,7 @@
     port: int
     slots: int
     distance_ms: float = 0.0
+    warm_up_ms: float = USUAL_WARM_UP_MS
 
 
 @dataclass(frozen=True, slots=True)
@@ -158,6 +160,7 @@
 
     Attributes:
         slowness: Smoothed ratio of the calls' times to those usual for their partners.
+        warm_at_ms: Until when it is slow, since it has just started.
         limit: Calls that this entry keeps at the endpoint.
         others_in_flight: Calls of other entries there, by its last report.
         probe_failed_ms: When a probe was last answered badly or not at all.
@@ -169,6 +172,7 @@
     status: EndpointStatus = EndpointStatus.COLD
     status_reason: str = "listed"
     since_ms: float = 0.0
+    warm_at_ms: float = 0.0
     slowness: float = 1.0
     started_by_call: dict[str, Started] = field(default_factory=dict)
     consecutive_failures: int = 0
@@ -233,10 +237,15 @@
         for name, address in listed.items():
             known = self.endpoint_by_id.get(name)
             if known is not None and known.address.incarnation == address.incarnation:
+                if known.address.warm_up_ms != address.warm_up_ms:
+                    known.warm_at_ms = now_ms + address.warm_up_ms
                 known.address = address
                 continue
-            self.endpoint_by_id[name] = Endpoint(address, since_ms=now_ms)
+            warm_at_ms = now_ms + address.warm_up_ms
+            self.endpoint_by_id[name] = Endpoint(address, since_ms=now_ms, warm_at_ms=warm_at_ms)
             self._ejected.discard(name)
+            if not address.warm_up_ms:
+                self.handle(name, EndpointEvent.WARMED, "listed as warm", now_ms)
         self._index()
 
     def set_share(self, share: SlotShare) -> None:
@@ -256,6 +265,8 @@
         endpoint.status = status
         endpoint.status_reason = reason
         endpoint.since_ms = now_ms
+        if status is EndpointStatus.COLD:
+            endpoint.warm_at_ms = max(endpoint.warm_at_ms, now_ms + USUAL_WARM_UP_MS)
         if status in (EndpointStatus.EJECTED, EndpointStatus.TRIAL):
             self._ejected.add(name)
         else:
@@ -409,6 +420,8 @@
         slots = endpoint.address.slots
         cost = endpoint.idle_cost * self._expected_slowdown(endpoint, now_ms)
         distance = endpoint.address.distance_ms * COST_PER_DISTANCE_MS
+        if now_ms < endpoint.warm_at_ms:
+            cost *= COLD_PENALTY
         if now_ms - endpoint.probe_failed_ms < REPORT_MEMORY_MS:
             cost *= FAILED_PROBE_COST
         taken = len(started_by_call) + self._others_in_flight(endpoint, now_ms)
@@ -438,8 +451,6 @@
 
     def _idle_cost(self, endpoint: Endpoint) -> float:
         cost = endpoint.slowness
-        if endpoint.status is EndpointStatus.COLD:
-            cost *= COLD_PENALTY
         if endpoint.consecutive_failures:
             # A fast failure frees its slot at once, so an idle look must not draw more work.
             cost *= FAILURE_PENALTY ** min(endpoint.consecutive_failures, MOST_PENALTIES)
@@ -465,7 +476,7 @@
         if endpoint.status is EndpointStatus.TRIAL:
             endpoint.ejections = 0
             self.handle(name, EndpointEvent.SUCCEEDED, "trial succeeded", now_ms)
-        elif endpoint.status is EndpointStatus.COLD and now_ms - endpoint.since_ms >= WARM_UP_MS:
+        elif endpoint.status is EndpointStatus.COLD and now_ms >= endpoint.warm_at_ms:
             self.handle(name, EndpointEvent.WARMED, "warmed up", now_ms)
 
     def _learn_failure(self, endpoint: Endpoint, result: CallResult, now_ms: float) -> None:
--- a/packages/cassiahaven-core/tests/test_worst_load.py
+++ b/packages/cassiahaven-core/tests/test_worst_load.py
@@ -136,6 +136,20 @@
     assert effect.address.endpoint == "a1"
 
 
+def test_near_endpoints_that_were_cold_are_used_once_they_are_warm():
+    made = policy(endpoints=2, zones=("a", "b"))
+    now_ms = 10_000.0
+    for name in ("b0", "b1"):
+        made.pool.start(made.pool.endpoint_by_id[name], name, "lookup", now_ms - WORK_MS)
+        made.pool.finish(name, name, CallResult.OK, now_ms)
+        made.pool.report_load(name, LoadReport(0, 0, 1.0), now_ms)
+    for name in ("a0", "a1"):
+        # Its neighbours slow it as often as not, as far as anybody knows.
+        made.pool.report_load(name, LoadReport(0, 0, 2.5), now_ms)
+    [effect] = made.arrive(call("1", at_ms=now_ms), now_ms)
+    assert effect.address.availability_zone == "a"
+
+
 def test_probes_stay_within_their_rate():
     made = policy(endpoints=1)
     sent = sum(made.take_probe("a0", float(now_ms)) for now_ms in range(0, 10_000, 2))
--- a/packages/cassiahaven-entry/cassiahaven_entry/routed_node.py
+++ b/packages/cassiahaven-entry/cassiahaven_entry/routed_node.py
@@ -305,6 +305,7 @@
             item.port,
             item.slots,
             distance_ms,
+            item.cold_ms,
         )
 
     def _retry_terms(self) -> RetryTerms:
