Let failures and slowness of an endpoint fade

A failure (one call in a thousand ends with the endpoint's own 500) made an endpoint cost four times as much until a call succeeded there, and it got none; a learned slowness stayed likewise. Now a failure in a row is forgotten after a second, and slowness fades over five.

Steps of a call now name the zone that it was sent to.

--- a/packages/cassiahaven-core/cassiahaven_core/pool.py
+++ b/packages/cassiahaven-core/cassiahaven_core/pool.py
@@ -31,6 +31,8 @@
 SMALLEST_SLOWNESS = 0.01
 FAILURE_PENALTY = 4.0
 MOST_PENALTIES = 8
+FAILURE_MEMORY_MS = 1000.0  # for each failure in a row; as long as the shortest ejection
+SLOWNESS_MEMORY_MS = 5000.0  # upstreams that turn slow stay so for some seconds
 FAR_SLOT_SHARE = 0.5
 REPORT_MEMORY_MS = 150.0  # neighbours of a VM change about this often
 FRESH_REPORT_MS = 3.0  # a report this young is as good as a new one
@@ -160,12 +162,14 @@
 
     Attributes:
         slowness: Smoothed ratio of the calls' times to those usual for their partners.
+        learned_ms: When a call that succeeded last changed the slowness.
+        failed_ms: When a call failed last.
         warm_at_ms: Until when it is slow, since it has just started.
         limit: Calls that this entry keeps at the endpoint.
         others_in_flight: Calls of other entries there, by its last report.
         probe_failed_ms: When a probe was last answered badly or not at all.
         probe_tokens: Probes that may be sent now.
-        idle_cost: What a call costs here while no other is in flight; the cheapest is chosen.
+        tie_break: Factor close to 1, so that endpoints alike are not used in a fixed order.
     """
 
     address: EndpointAddress
@@ -174,6 +178,8 @@
     since_ms: float = 0.0
     warm_at_ms: float = 0.0
     slowness: float = 1.0
+    learned_ms: float = 0.0
+    failed_ms: float = 0.0
     started_by_call: dict[str, Started] = field(default_factory=dict)
     consecutive_failures: int = 0
     ejections: int = 0
@@ -185,7 +191,7 @@
     probe_tokens: float = 1.0
     probe_refilled_ms: float = 0.0
     limit: int = 0
-    idle_cost: float = 1.0
+    tie_break: float = 1.0
 
     @property
     def in_flight(self) -> int:
@@ -350,7 +356,7 @@
             self._learn_failure(endpoint, result, now_ms)
         elif endpoint.status is EndpointStatus.TRIAL:
             self.handle(name, EndpointEvent.FAILING, "trial cancelled", now_ms)
-        endpoint.idle_cost = self._idle_cost(endpoint)
+        endpoint.tie_break = self._tie_break()
 
     def report_load(self, name: str, report: LoadReport, now_ms: float) -> None:
         """Take in an endpoint's own report."""
@@ -418,12 +424,16 @@
         """
         started_by_call = endpoint.started_by_call
         slots = endpoint.address.slots
-        cost = endpoint.idle_cost * self._expected_slowdown(endpoint, now_ms)
+        slowness = _remembered_slowness(endpoint, now_ms)
+        cost = slowness * endpoint.tie_break * self._expected_slowdown(endpoint, now_ms)
         distance = endpoint.address.distance_ms * COST_PER_DISTANCE_MS
         if now_ms < endpoint.warm_at_ms:
             cost *= COLD_PENALTY
         if now_ms - endpoint.probe_failed_ms < REPORT_MEMORY_MS:
             cost *= FAILED_PROBE_COST
+        if endpoint.consecutive_failures:
+            # A fast failure frees its slot at once, so an idle look must not draw more work.
+            cost *= FAILURE_PENALTY ** _remembered_failures(endpoint, now_ms)
         taken = len(started_by_call) + self._others_in_flight(endpoint, now_ms)
         if taken + 1 > slots + HALF_SLOT:
             cost *= FULL_COST * (1 + taken - slots)
@@ -433,8 +443,8 @@
             return cost + distance
         oldest = next(iter(started_by_call.values()))
         ratio = (now_ms - oldest.at_ms) / (oldest.usual_ms * oldest.slowdown)
-        if ratio > SLOW_CALL_RATIO and ratio > endpoint.slowness:
-            cost *= ratio / endpoint.slowness
+        if ratio > SLOW_CALL_RATIO and ratio > slowness:
+            cost *= ratio / slowness
         return cost * (1 + OCCUPANCY_COST * taken / slots) + distance
 
     def _expected_slowdown(self, endpoint: Endpoint, now_ms: float) -> float:
@@ -449,12 +459,8 @@
         weight = math.exp(-(now_ms - endpoint.reported_at_ms) / REPORT_MEMORY_MS)
         return endpoint.others_in_flight * weight
 
-    def _idle_cost(self, endpoint: Endpoint) -> float:
-        cost = endpoint.slowness
-        if endpoint.consecutive_failures:
-            # A fast failure frees its slot at once, so an idle look must not draw more work.
-            cost *= FAILURE_PENALTY ** min(endpoint.consecutive_failures, MOST_PENALTIES)
-        return cost * (1 + TIE_BREAK * self._rng.random())
+    def _tie_break(self) -> float:
+        return 1 + TIE_BREAK * self._rng.random()
 
     def _learn_success(self, endpoint: Endpoint, started: Started, now_ms: float) -> None:
         # What a neighbour of the VM cost says nothing of the endpoint itself.
@@ -469,8 +475,10 @@
         # Where that changed while the call ran, its time tells nothing.
         if is_nearly_full == started.is_nearly_full:
             self._crowding.learn(ratio, is_nearly_full=is_nearly_full)
-        smoothed = endpoint.slowness + SLOWNESS_SMOOTHING * (ratio - endpoint.slowness)
+        slowness = _remembered_slowness(endpoint, now_ms)
+        smoothed = slowness + SLOWNESS_SMOOTHING * (ratio - slowness)
         endpoint.slowness = max(SMALLEST_SLOWNESS, smoothed)
+        endpoint.learned_ms = now_ms
         endpoint.consecutive_failures = 0
         name = endpoint.address.endpoint
         if endpoint.status is EndpointStatus.TRIAL:
@@ -481,6 +489,7 @@
 
     def _learn_failure(self, endpoint: Endpoint, result: CallResult, now_ms: float) -> None:
         endpoint.consecutive_failures += 1
+        endpoint.failed_ms = now_ms
         failed_trial = endpoint.status is EndpointStatus.TRIAL
         if not failed_trial and not self._may_eject(endpoint):
             return
@@ -513,4 +522,16 @@
         self._serving = [item for item in self.endpoint_by_id.values() if item.is_serving]
         for endpoint in self._serving:
             endpoint.limit = self._share.slots(endpoint.address)
-            endpoint.idle_cost = self._idle_cost(endpoint)
+            endpoint.tie_break = self._tie_break()
+
+
+def _remembered_slowness(endpoint: Endpoint, now_ms: float) -> float:
+    """Return an endpoint's slowness, which fades so that one no longer slow is found again."""
+    age = (now_ms - endpoint.learned_ms) / SLOWNESS_MEMORY_MS
+    return 1 + (endpoint.slowness - 1) * math.exp(-age)
+
+
+def _remembered_failures(endpoint: Endpoint, now_ms: float) -> float:
+    """Return how many failures in a row still count: single ones happen to sound upstreams too."""
+    forgotten = (now_ms - endpoint.failed_ms) / FAILURE_MEMORY_MS
+    return min(MOST_PENALTIES, max(0.0, endpoint.consecutive_failures - forgotten))
--- a/packages/cassiahaven-core/tests/test_worst_load.py
+++ b/packages/cassiahaven-core/tests/test_worst_load.py
@@ -150,6 +150,45 @@
     assert effect.address.availability_zone == "a"
 
 
+def run_one(made, name, endpoint, now_ms, *, took_ms, result=CallResult.OK):
+    """Let a call of ``took_ms`` end at ``now_ms`` at an endpoint of the test's choice."""
+    made.pool.start(made.pool.endpoint_by_id[endpoint], name, "lookup", now_ms - took_ms)
+    made.pool.finish(endpoint, name, result, now_ms)
+
+
+def test_a_near_endpoint_that_failed_once_is_used_again():
+    made = policy(endpoints=1, zones=("a", "b"))
+    for number in range(100):
+        for endpoint in ("a0", "b0"):
+            run_one(made, str(number), endpoint, 10_000.0 + number, took_ms=WORK_MS)
+    run_one(made, "failed", "a0", 20_000.0, took_ms=1.0, result=CallResult.SERVER_ERROR)
+    [effect] = made.arrive(call("1", at_ms=20_100.0), 20_100.0)
+    assert effect.address.endpoint == "b0"
+    made.finish(call("1"), "b0", CallResult.OK, 20_100.0 + WORK_MS)
+    [effect] = made.arrive(call("2", at_ms=22_000.0), 22_000.0)
+    assert effect.address.endpoint == "a0"
+
+
+def test_an_endpoint_that_is_no_longer_slow_is_found_again():
+    made = policy(endpoints=2)
+    for number in range(500):
+        for endpoint in ("a0", "a1"):
+            run_one(made, str(number), endpoint, number * 10.0, took_ms=WORK_MS)
+    for number in range(10):
+        run_one(made, str(number), "a0", 5000.0 + number, took_ms=5 * WORK_MS)
+    used = []
+    for number in range(50):
+        now_ms = 5200.0 + number * 500.0
+        pair = [call(f"{number}/{n}", at_ms=now_ms) for n in range(2)]
+        for item in pair:
+            [effect] = made.arrive(item, now_ms)
+            used.append(effect.address.endpoint)
+        for item, endpoint in zip(pair, used[-2:], strict=True):
+            made.finish(item, endpoint, CallResult.OK, now_ms + WORK_MS)
+    assert "a0" not in used[:6]
+    assert "a0" in used[-20:]
+
+
 def test_probes_stay_within_their_rate():
     made = policy(endpoints=1)
     sent = sum(made.take_probe("a0", float(now_ms)) for now_ms in range(0, 10_000, 2))
--- a/packages/cassiahaven-entry/cassiahaven_entry/attempts.py
+++ b/packages/cassiahaven-entry/cassiahaven_entry/attempts.py
@@ -153,7 +153,7 @@
     def _attempt(
         self, call: Call, task: ServiceTask, address: EndpointAddress
     ) -> Finished | SendFailed:
-        call.note("sent", address.endpoint)
+        call.note("sent", f"{address.endpoint} in {address.availability_zone}")
         task.policy.pool.mark_sent(address.endpoint, call.call_id)
         ended: Finished | SendFailed | None = None
         try:
