Close a stopping entry's kept connections halfway to its end

Idle connections were closed 1.6 s before the end, and the call needed longer than what was left. Ruled out: an endpoint that broke off, the call's deadline. Now they close when half of the time has passed, which leaves 3 s for the last calls.

The test keeps a connection open over SIGTERM and sends at 0.55 of the time: its call ran and was cut before the change; now the connection is closed and nothing runs.

--- a/packages/cassiahaven-entry/cassiahaven_entry/routed_node.py
+++ b/packages/cassiahaven-entry/cassiahaven_entry/routed_node.py
@@ -40,7 +40,7 @@
 SETTINGS_INTERVAL_MS = 1000.0
 REGISTER_RETRY_MS = 700.0
 STOP_POLL_MS = 20.0
-CLOSE_BEFORE_KILL_MS = 1600.0  # idle connections close while there is time for the last calls
+CLOSE_SHARE = 0.5  # of the time to stop; the rest is for the last calls to be answered
 EXIT_BEFORE_KILL_MS = 250.0
 OTHER_ZONE_MS = 1.0  # one way; zones of a region are a few milliseconds apart at the most
 OTHER_REGION_MS = 30.0
@@ -194,7 +194,7 @@
         self.links.publish_report()
         for link in self.links.link_by_name.values():
             link.report(True)
-        close_at_ms = started_ms + self.settings.stop_ms - CLOSE_BEFORE_KILL_MS
+        close_at_ms = started_ms + self.settings.stop_ms * CLOSE_SHARE
         eventlet.sleep(max(0.0, close_at_ms - now_ms()) / MS_PER_S)
         self.frontend.stop()
         give_up_ms = started_ms + self.settings.stop_ms - EXIT_BEFORE_KILL_MS
--- a/tests/test_platform_path.py
+++ b/tests/test_platform_path.py
@@ -14,6 +14,7 @@
 
 CONFIG_BOUND_S = 2.0
 DRAIN_BOUND_S = 2.0
+LONG_GRACE_MS = 6000
 
 
 @pytest.fixture
@@ -262,6 +263,24 @@
     )
 
 
+def test_a_stopping_entry_takes_no_call_that_it_may_not_finish(tmp_path, request_id):
+    with platform_fleet(tmp_path, entries=1, grace_ms=LONG_GRACE_MS) as fleet:
+        fleet.add_endpoint("i-1", "one").state.work_s = 0.7 * LONG_GRACE_MS / 1000
+        fleet.configure({"x": "one"}, timeout_ms=2 * LONG_GRACE_MS)
+        fleet.start()
+        [entry] = fleet.entries
+        connection = http.client.HTTPConnection("127.0.0.1", entry.front, timeout=10)
+        connection.connect()
+        entry.signal(signal.SIGTERM)
+        # Callers that kept the connection open come back in the second half of the time to stop.
+        time.sleep(0.55 * LONG_GRACE_MS / 1000)
+        headers = {"Host": "h.example", "Request-Id": "late", "Deadline-Ms": "9000"}
+        with pytest.raises((OSError, http.client.HTTPException)):
+            connection.request("GET", "/safe/x/", headers=headers)
+            connection.getresponse()
+        assert fleet.runs("late") == 0
+
+
 def test_hangup_reloads_and_keeps_serving(fleet, request_id):
     entry = fleet.entries[0]
     entry.signal(signal.SIGHUP)
