Write a change out once for all followers, who ask the nearest watcher

Ruled out: the store (its watchers had the version within 0.1 s), links lost (8, after the choke). Now an answer is encoded once for each state asked for, and a follower asks one watcher, the one in its own zone first. Followers also tell their watchers which versions they have in force.

The tests count encodings for 141 followers and who is asked.

--- a/packages/cassiahaven-core/cassiahaven_core/membership.py
+++ b/packages/cassiahaven-core/cassiahaven_core/membership.py
@@ -20,6 +20,7 @@
         callers: Address for callers, as host and port.
         peers: Address for other entries, as host and port.
         cores: Processor time a second that its VM gives it.
+        operators: Address for operators, as host and port.
     """
 
     name: str
@@ -28,6 +29,7 @@
     callers: str
     peers: str
     cores: float = 1.0
+    operators: str = ""
 
 
 @dataclass(slots=True)
@@ -51,13 +53,21 @@
     Every entry computes the same from the same members, so nobody has to be elected.
     """
 
-    __slots__ = ("own", "member_by_name", "view_by_watcher", "heard_ms_by_name", "draining")
+    __slots__ = (
+        "own",
+        "member_by_name",
+        "view_by_watcher",
+        "heard_ms_by_name",
+        "versions_by_name",
+        "draining",
+    )
 
     def __init__(self, own: Member) -> None:
         self.own = own
         self.member_by_name: dict[str, Member] = {own.name: own}
         self.view_by_watcher: dict[str, PeerView] = {}
         self.heard_ms_by_name: dict[str, float] = {}
+        self.versions_by_name: dict[str, dict[str, int]] = {}
         self.draining: set[str] = set()
 
     def set_members(self, members: Iterable[Member]) -> None:
@@ -65,13 +75,22 @@
         self.member_by_name = {member.name: member for member in members}
         self.member_by_name[self.own.name] = self.own
         self.draining &= self.member_by_name.keys()
-        for known in (self.view_by_watcher, self.heard_ms_by_name):
+        for known in (self.view_by_watcher, self.heard_ms_by_name, self.versions_by_name):
             for name in known.keys() - self.member_by_name.keys():
                 del known[name]
 
-    def hear_report(self, name: str, *, is_draining: bool, now_ms: float) -> None:
-        """Take in that a subscriber of this entry lives."""
+    def hear_report(
+        self,
+        name: str,
+        *,
+        is_draining: bool,
+        now_ms: float,
+        version_by_topic: dict[str, int] | None = None,
+    ) -> None:
+        """Take in that a subscriber of this entry lives, and which versions it has if it says."""
         self.heard_ms_by_name[name] = now_ms
+        if version_by_topic:
+            self.versions_by_name[name] = version_by_topic
         self._note_draining(name, is_draining)
 
     def hear_view(
--- a/packages/cassiahaven-core/cassiahaven_core/peer_message.py
+++ b/packages/cassiahaven-core/cassiahaven_core/peer_message.py
@@ -1,6 +1,6 @@
 """Messages between entry processes and their CBOR form."""
 
-from dataclasses import dataclass, fields
+from dataclasses import dataclass, field, fields
 from hashlib import blake2b
 from typing import Any, TypeAlias
 
@@ -117,10 +117,15 @@
 
 @dataclass(frozen=True, slots=True)
 class MemberReport:
-    """Tell a watcher that the sender lives; sent by each of its subscribers."""
+    """Tell a watcher that the sender lives; sent by each of its subscribers.
+
+    Attributes:
+        version_by_topic: What the sender has, empty if that is as in its last report.
+    """
 
     name: str
     is_draining: bool
+    version_by_topic: dict[str, int] = field(default_factory=dict)
 
 
 @dataclass(frozen=True, slots=True)
@@ -174,6 +179,18 @@
     plain_by_name: dict[str, Any]
 
 
+@dataclass(frozen=True, slots=True)
+class Encoded:
+    """Hold a message that was encoded once for many receivers.
+
+    Attributes:
+        kind: Name of the message's class.
+    """
+
+    kind: str
+    data: bytes
+
+
 PeerMessage: TypeAlias = (
     Introduction
     | Heartbeat
@@ -235,6 +252,11 @@
     return cbor2.dumps([type(message).__name__, *values])
 
 
+def encode_once(message: PeerMessage) -> Encoded:
+    """Return ``message`` in the form that need not be worked out for each receiver."""
+    return Encoded(type(message).__name__, encode(message))
+
+
 def decode(data: bytes) -> PeerMessage:
     """Return the message in ``data``.
 
--- a/packages/cassiahaven-entry/cassiahaven_entry/fleet_links.py
+++ b/packages/cassiahaven-entry/cassiahaven_entry/fleet_links.py
@@ -8,12 +8,14 @@
 from cassiahaven_core.membership import SILENCE_MS, Fleet, Member
 from cassiahaven_core.peer_message import (
     CrashNotice,
+    Encoded,
     MemberReport,
     PeerMessage,
     StateNews,
     StateRequest,
     WatcherPulse,
     WatcherReport,
+    encode_once,
 )
 from cassiahaven_entry.clock import MS_PER_S, now_ms
 from cassiahaven_entry.event import LogEvent, log
@@ -27,6 +29,8 @@
 UNREACHABLE_MS = 3000.0  # an entry that restarts is back within this time
 GATHER_MS = 100.0  # changes come in rows; a twentieth of the time that they may take
 REQUEST_TIMEOUT_MS = 400.0
+NEAR_FIRST_MS = 250.0  # half of what passes between reports; bytes between zones are paid for
+KEPT_NEWS = 16
 CLUSTER = "fleet"
 
 
@@ -59,16 +63,62 @@
         self.on_crash = on_crash
 
 
+class StateQuestions:
+    """Decide which watcher is asked for a topic that another one knows newer, and when.
+
+    Answers the load pattern of a change that all followers learn of at once from every watcher:
+    each asks one watcher, the one in its own availability zone if it has one.
+    """
+
+    __slots__ = ("_asked_ms_by_topic", "_lacking_since_ms_by_topic")
+
+    def __init__(self) -> None:
+        self._asked_ms_by_topic: dict[str, float] = {}
+        self._lacking_since_ms_by_topic: dict[str, float] = {}
+
+    def is_due(self, topic: str, *, prefers_another: bool, now_ms: float) -> bool:
+        """Tell whether a watcher that knows ``topic`` newer is to be asked, and count it.
+
+        Args:
+            topic: Name of the topic.
+            prefers_another: Whether a nearer watcher is connected.
+            now_ms: Current time, milliseconds.
+        """
+        since_ms = self._lacking_since_ms_by_topic.setdefault(topic, now_ms)
+        if prefers_another and now_ms - since_ms < NEAR_FIRST_MS:
+            return False
+        if now_ms - self._asked_ms_by_topic.get(topic, float("-inf")) <= REQUEST_TIMEOUT_MS:
+            return False
+        self._asked_ms_by_topic[topic] = now_ms
+        return True
+
+    def settle(self, topic: str) -> None:
+        """Take in that a topic was answered."""
+        self._asked_ms_by_topic.pop(topic, None)
+        self._lacking_since_ms_by_topic.pop(topic, None)
+
+
 class WatcherLink(PeerDialer):
     """Follow one watcher: report to it, hear who lives, and ask for what it knows newer."""
 
-    def __init__(self, member: Member, key: str, fleet: Fleet, state: FleetState) -> None:
+    def __init__(
+        self,
+        member: Member,
+        key: str,
+        fleet: Fleet,
+        state: FleetState,
+        questions: StateQuestions,
+        has_near_link: Callable[[], bool],
+    ) -> None:
         super().__init__(member.name, f"ws://{member.peers}", cluster=CLUSTER, key=key)
         self.failed_ms = float("-inf")
+        self.is_near = member.availability_zone == fleet.own.availability_zone
         self._fleet = fleet
         self._state = state
-        self._asked_ms_by_topic: dict[str, float] = {}
+        self._questions = questions
+        self._has_near_link = has_near_link
         self._version_by_topic: dict[str, int] = {}
+        self._told_versions: dict[str, int] = {}
 
     @property
     def is_connected(self) -> bool:
@@ -77,7 +127,10 @@
 
     def report(self, is_draining: bool) -> None:
         """Tell the watcher that this entry lives."""
-        self.send(MemberReport(self._fleet.own.name, is_draining))
+        versions = self._state.versions()
+        news = {} if versions == self._told_versions else versions
+        if self.send(MemberReport(self._fleet.own.name, is_draining, news)):
+            self._told_versions = versions
 
     def drop_if_silent(self) -> None:
         """End a connection on which nothing was heard for too long."""
@@ -96,8 +149,8 @@
         self.failed_ms = now_ms()
 
     def _on_connected(self) -> None:
-        self._asked_ms_by_topic.clear()
         self._version_by_topic = {}
+        self._told_versions = {}
         self.report(self._fleet.own.name in self._fleet.draining)
 
     def _on_disconnected(self) -> None:
@@ -112,7 +165,7 @@
                 self._fleet.hear_pulse(self.name, store_age_ms=store_age_ms, now_ms=now_ms())
                 self._ask()
             case StateNews(topic=topic):
-                self._asked_ms_by_topic.pop(topic, None)
+                self._questions.settle(topic)
                 self._state.on_news(message)
             case CrashNotice():
                 self._state.on_crash(message)
@@ -130,10 +183,11 @@
 
     def _ask(self) -> None:
         own = self._state.versions()
+        prefers_another = not self.is_near and self._has_near_link()
         for topic, version in self._version_by_topic.items():
-            asked_ms = self._asked_ms_by_topic.get(topic, float("-inf"))
-            if version > own[topic] and now_ms() - asked_ms > REQUEST_TIMEOUT_MS:
-                self._asked_ms_by_topic[topic] = now_ms()
+            if version > own[topic] and self._questions.is_due(
+                topic, prefers_another=prefers_another, now_ms=now_ms()
+            ):
                 self.send(StateRequest(topic, own[topic]))
 
 
@@ -155,6 +209,8 @@
         self._published: WatcherReport | None = None
         self._published_ms = float("-inf")
         self._is_report_due = False
+        self._questions = StateQuestions()
+        self._encoded_news: dict[tuple[str, int, int], Encoded] = {}
         host, _, port = fleet.own.peers.rpartition(":")
         self._server = PeerServer(
             host,
@@ -227,18 +283,20 @@
         """Return what a new subscriber is told."""
         return [self._state.report()]
 
-    def receive(self, connection: str, message: PeerMessage) -> list[PeerMessage]:
+    def receive(self, connection: str, message: PeerMessage) -> list[PeerMessage | Encoded]:
         """Take in a subscriber's message and return the replies."""
         match message:
-            case MemberReport(name=name, is_draining=is_draining):
+            case MemberReport(name=name, is_draining=is_draining, version_by_topic=versions):
                 is_news = connection not in self._name_by_connection
                 is_news |= is_draining != (name in self._fleet.draining)
                 self._name_by_connection[connection] = name
-                self._fleet.hear_report(name, is_draining=is_draining, now_ms=now_ms())
+                self._fleet.hear_report(
+                    name, is_draining=is_draining, now_ms=now_ms(), version_by_topic=versions
+                )
                 if is_news:
                     self.publish_report()
             case StateRequest():
-                return [self._state.news(message)]
+                return [self._news(message)]
             case CrashNotice():
                 self._state.on_crash(message)
                 self._server.publish(message)
@@ -252,6 +310,19 @@
             log(LogEvent.PEER_LOST, peer=name)
             self.publish_report()
 
+    def _news(self, request: StateRequest) -> Encoded:
+        # All followers ask for the same at about the same time.
+        key = (request.topic, request.revision, self._state.versions()[request.topic])
+        encoded = self._encoded_news.get(key)
+        if encoded is None:
+            if len(self._encoded_news) >= KEPT_NEWS:
+                self._encoded_news.clear()
+            encoded = self._encoded_news[key] = encode_once(self._state.news(request))
+        return encoded
+
+    def _has_near_link(self) -> bool:
+        return any(link.is_near and link.is_connected for link in self.link_by_name.values())
+
     def _follow_watchers(self) -> None:
         failed = frozenset(
             name
@@ -270,6 +341,13 @@
                 self.link_by_name.pop(name).close()
         for name, member in wanted.items():
             if name not in self.link_by_name:
-                link = WatcherLink(member, self._key, self._fleet, self._state)
+                link = WatcherLink(
+                    member,
+                    self._key,
+                    self._fleet,
+                    self._state,
+                    self._questions,
+                    self._has_near_link,
+                )
                 self.link_by_name[name] = link
                 spawn_supervised(f"link to {name}", link.run)
--- a/packages/cassiahaven-entry/cassiahaven_entry/peer_handler.py
+++ b/packages/cassiahaven-entry/cassiahaven_entry/peer_handler.py
@@ -7,6 +7,7 @@
 
 from cassiahaven_core.idempotency import PeerReply
 from cassiahaven_core.peer_message import (
+    Encoded,
     Heartbeat,
     KeyQuestion,
     KeyReply,
@@ -31,7 +32,7 @@
         """Return what a new subscriber is told."""
 
     @abstractmethod
-    def receive(self, connection: str, message: PeerMessage) -> list[PeerMessage]:
+    def receive(self, connection: str, message: PeerMessage) -> list[PeerMessage | Encoded]:
         """Take in a message and return the replies."""
 
     @abstractmethod
--- a/packages/cassiahaven-entry/cassiahaven_entry/peer_server.py
+++ b/packages/cassiahaven-entry/cassiahaven_entry/peer_server.py
@@ -7,10 +7,11 @@
 from websockets.sync.server import ServerConnection, serve
 
 from cassiahaven_core.peer_message import (
+    Encoded,
     MalformedMessage,
     PeerMessage,
     decode,
-    encode,
+    encode_once,
 )
 from cassiahaven_entry.event import LogEvent, log
 from cassiahaven_entry.metrics import Metrics
@@ -82,9 +83,9 @@
 
     def publish(self, message: PeerMessage) -> None:
         """Send ``message`` to every subscriber."""
-        data = encode(message)
+        ready = encode_once(message)
         for connection in list(self._subscribers):
-            self._send(connection, type(message).__name__, data)
+            self._send(connection, ready.kind, ready.data)
 
     def _check(self, connection: ServerConnection, request: Request) -> Response | None:
         authorization = request.headers.get("Authorization", "")
@@ -103,7 +104,8 @@
         self._subscribers.add(connection)
         try:
             for message in self._handler.greeting():
-                self._send(connection, type(message).__name__, encode(message))
+                ready = encode_once(message)
+                self._send(connection, ready.kind, ready.data)
             for data in connection:
                 self._receive(connection, data)
         except CONNECTION_ERRORS:
@@ -119,7 +121,8 @@
         if isinstance(data, str):
             raise MalformedMessage("text instead of CBOR")
         for reply in self._handler.receive(str(connection.id), decode(data)):
-            self._send(connection, type(reply).__name__, encode(reply))
+            ready = reply if isinstance(reply, Encoded) else encode_once(reply)
+            self._send(connection, ready.kind, ready.data)
 
     def _send(self, connection: ServerConnection, kind: str, data: bytes) -> None:
         self._metrics.peer_bytes.labels(kind).inc(len(data))
--- /dev/null
+++ b/packages/cassiahaven-entry/tests/test_fleet_links.py
@@ -0,0 +1,90 @@
+"""How a change spreads when all followers learn of it at once."""
+
+import threading
+
+import pytest
+
+from cassiahaven_core.membership import Fleet, Member
+from cassiahaven_core.peer_message import Encoded, StateNews, StateRequest, WatcherReport, decode
+from cassiahaven_entry.fleet_links import (
+    NEAR_FIRST_MS,
+    FleetLinks,
+    FleetState,
+    StateQuestions,
+    WatcherLink,
+)
+from cassiahaven_entry.metrics import Metrics
+from cassiahaven_standins.fleet import free_port
+
+ROUTES = {str(number): ["route", number] for number in range(1000)}
+
+
+def member(name):
+    return Member(name, f"{name}-1", name[0], f"{name}:1", "127.0.0.1:1")
+
+
+class CountingState:
+    """Count how often the state is written out."""
+
+    def __init__(self):
+        self.version = 2
+        self.written = 0
+
+    def news(self, request):
+        self.written += 1
+        return StateNews(request.topic, self.version, True, ROUTES)
+
+
+@pytest.fixture
+def state():
+    return CountingState()
+
+
+@pytest.fixture
+def links(state):
+    own = Member("a1", "a1-1", "a", "a1:1", f"127.0.0.1:{free_port()}")
+    made = FleetLinks(Fleet(own), fleet_state(state), key="k", metrics=Metrics())
+    threading.Thread(target=made.serve, daemon=True).start()
+    yield made
+    made.close()
+
+
+def fleet_state(state):
+    return FleetState(
+        report=lambda: None,
+        versions=lambda: {"configuration": state.version},
+        news=state.news,
+        on_news=lambda news: None,
+        on_crash=lambda notice: None,
+    )
+
+
+def test_a_large_configuration_is_written_out_once_for_all_followers(links, state):
+    replies = [links.receive(str(n), StateRequest("configuration", 1)) for n in range(141)]
+    assert state.written == 1
+    [reply] = replies[0]
+    assert isinstance(reply, Encoded)
+    assert decode(reply.data) == StateNews("configuration", 2, True, ROUTES)
+    state.version = 3
+    links.receive("0", StateRequest("configuration", 1))
+    assert state.written == 2
+
+
+def test_a_change_is_asked_of_the_near_watcher_alone(clock, state):
+    own = Fleet(member("a2"))
+    questions = StateQuestions()
+    asked = []
+    state.version = 1
+    for name in ("b1", "a1", "c1"):
+        link = WatcherLink(member(name), "k", own, fleet_state(state), questions, lambda: True)
+        link.send = lambda message, name=name: asked.append(name)
+        link._receive(WatcherReport(["a2"], [], 0.0, {"configuration": 2}))
+    assert asked == ["a1"]
+
+
+def test_a_far_watcher_is_asked_when_the_near_one_does_not_answer():
+    questions = StateQuestions()
+    assert not questions.is_due("configuration", prefers_another=True, now_ms=0.0)
+    assert questions.is_due("configuration", prefers_another=False, now_ms=1.0)
+    assert not questions.is_due("configuration", prefers_another=True, now_ms=NEAR_FIRST_MS)
+    assert questions.is_due("configuration", prefers_another=True, now_ms=500.0)
