Give operators the table, status and explanations on the platform

Rows of routes follow the configuration in force and are read back with version, entries that have it and those that miss it. Cells and endpoint drains are edited by the command line, last on the store (a kind of our own, written by compare-and-set) and reach every entry through the watchers. The limits are divided among the entries that carry callers. `status`, `addresses`, `why REQUEST-ID` and `table history` work against an entry on the platform; the address is that of the metrics. What both operators' sides share moved to operator_reply.py and table_edits.py.

--- a/packages/cassiahaven-core/cassiahaven_core/edge.py
+++ b/packages/cassiahaven-core/cassiahaven_core/edge.py
@@ -10,6 +10,7 @@
 from cassiahaven_core.pool import CallResult, EndpointAddress, LoadReport, ProbeFailed
 from cassiahaven_core.registry import Registration
 from cassiahaven_core.route import GatewayConfig
+from cassiahaven_core.table import ServiceTable
 
 
 class StoreUnavailable(Exception):
@@ -33,8 +34,8 @@
     objects: list[StoredObject]
 
 
-class ObjectStore(ABC):
-    """Reach the platform's object store."""
+class VersionedStore(ABC):
+    """Reach objects that are written only if nobody else changed them."""
 
     @abstractmethod
     def get(self, key: str) -> StoredObject | None:
@@ -55,6 +56,10 @@
             StoreUnavailable: The store gave no answer.
         """
 
+
+class ObjectStore(VersionedStore):
+    """Reach the platform's object store."""
+
     @abstractmethod
     def watch(self, prefix: str, *, revision: int, wait_ms: int) -> WatchResult:
         """Wait for objects below ``prefix`` that changed after ``revision``.
@@ -70,9 +75,10 @@
     CONFIGURATION = "configuration"
     ENDPOINTS = "endpoints"
     MEMBERS = "members"
+    TABLES = "tables"
 
 
-FleetItem: TypeAlias = GatewayConfig | Registration | Member
+FleetItem: TypeAlias = GatewayConfig | Registration | Member | ServiceTable
 
 
 @dataclass(frozen=True, slots=True)
@@ -105,8 +111,8 @@
     """Report that the store no longer knows what changed since a revision."""
 
 
-class FleetStore(ABC):
-    """Reach the store that holds a fleet's configuration, endpoints and members."""
+class FleetStore(VersionedStore):
+    """Reach the store that holds a fleet's configuration, endpoints, members and tables."""
 
     @abstractmethod
     def read(self, topic: Topic) -> FleetChanges:
--- a/packages/cassiahaven-core/cassiahaven_core/fleet_state.py
+++ b/packages/cassiahaven-core/cassiahaven_core/fleet_state.py
@@ -2,16 +2,18 @@
 
 from collections import deque
 from collections.abc import Callable
-from dataclasses import astuple
+from dataclasses import astuple, replace
 from typing import Any, TypeAlias
 
 from cassiahaven_core.membership import Member
 from cassiahaven_core.registry import Registration
 from cassiahaven_core.route import CallerLimits, GatewayConfig, Route, ServiceShare, ServiceSpec
+from cassiahaven_core.table import ServiceTable
+from cassiahaven_core.table_codec import table_from_plain, table_to_plain
 
 KEPT_CHANGES = 512  # two changes for each endpoint of the largest service planned so far
 
-Item: TypeAlias = Registration | Member
+Item: TypeAlias = Registration | Member | ServiceTable
 
 
 class TopicState:
@@ -72,7 +74,10 @@
 
 
 def item_to_plain(item: Item) -> list[Any]:
-    """Return a registration or member as a list."""
+    """Return an item as a list."""
+    if isinstance(item, ServiceTable):
+        # Only the store's copy of the history is complete.
+        return [table_to_plain(replace(item, history=[]))]
     return list(astuple(item))
 
 
@@ -80,8 +85,10 @@
     """Return the item of class ``kind`` that ``plain`` stands for.
 
     Raises:
-        TypeError: The list has another length.
+        TypeError, KeyError: The list has another form.
     """
+    if kind is ServiceTable:
+        return table_from_plain(*plain)
     return kind(*plain)
 
 
--- a/packages/cassiahaven-core/cassiahaven_core/route.py
+++ b/packages/cassiahaven-core/cassiahaven_core/route.py
@@ -66,6 +66,22 @@
     idle_ms: float = DEFAULT_IDLE_MS
 
 
+@dataclass(frozen=True, slots=True)
+class RouteRule:
+    """Hold what a configuration says of a route's calls to one service; see ``Route``.
+
+    Attributes:
+        share: Part of the route's calls that the service gets, at most 1.
+    """
+
+    share: float
+    priority: int
+    timeout_ms: float
+    target_ms: float
+    most_attempts: int
+    is_idempotent: bool
+
+
 @dataclass(frozen=True, slots=True)
 class GatewayConfig:
     """Hold one version of the routes and services."""
@@ -75,6 +91,22 @@
     service_by_name: dict[str, ServiceSpec]
     limits: CallerLimits = CallerLimits()
 
+    def rules(self, service: str) -> dict[str, RouteRule]:
+        """Return what is in force for the calls to a service, by route."""
+        return {
+            route.name: RouteRule(
+                share.weight / sum(item.weight for item in route.shares),
+                route.priority,
+                route.timeout_ms,
+                route.target_ms,
+                route.most_attempts,
+                route.is_idempotent,
+            )
+            for route in self.routes
+            for share in route.shares
+            if share.service == service
+        }
+
 
 class RouteMiss(Enum):
     """Tell why a call has no route."""
--- a/packages/cassiahaven-entry/cassiahaven_entry/fleet_view.py
+++ b/packages/cassiahaven-entry/cassiahaven_entry/fleet_view.py
@@ -4,6 +4,7 @@
 
 from cassiahaven_core.edge import FleetChanges, Topic
 from cassiahaven_core.fleet_state import (
+    Item,
     TopicState,
     config_from_plain,
     config_to_plain,
@@ -14,16 +15,21 @@
 from cassiahaven_core.peer_message import StateNews, StateRequest
 from cassiahaven_core.registry import EndpointRegistry, Registration
 from cassiahaven_core.route import GatewayConfig, RoutingTable
+from cassiahaven_core.table import ServiceTable
 from cassiahaven_entry.clock import now_ms
 from cassiahaven_entry.event import LogEvent, log
 
-CLASS_BY_TOPIC = {Topic.ENDPOINTS.value: Registration, Topic.MEMBERS.value: Member}
+CLASS_BY_TOPIC = {
+    Topic.ENDPOINTS.value: Registration,
+    Topic.MEMBERS.value: Member,
+    Topic.TABLES.value: ServiceTable,
+}
 FROM_STORE = "store"
 FROM_PEER = "peer"
 
 
 class FleetView:
-    """Hold configuration, endpoints and members, and tell of their changes.
+    """Hold configuration, endpoints, members and tables, and tell of their changes.
 
     Args:
         fleet: Members and who of them lives.
@@ -31,6 +37,7 @@
         on_config: Called when a newer configuration is in force.
         on_endpoints: Called when endpoints changed.
         on_members: Called when members changed.
+        on_table: Called with each table that changed and whence the news came.
     """
 
     def __init__(
@@ -41,15 +48,23 @@
         on_config: Callable[[GatewayConfig], None],
         on_endpoints: Callable[[Collection[Registration]], None],
         on_members: Callable[[], None],
+        on_table: Callable[[ServiceTable, str], None],
     ) -> None:
         self.registry = EndpointRegistry()
         self._fleet = fleet
         self._routing = routing
         self._endpoints = TopicState()
         self._members = TopicState()
+        self._tables = TopicState()
+        self._state_by_topic = {
+            Topic.ENDPOINTS.value: self._endpoints,
+            Topic.MEMBERS.value: self._members,
+            Topic.TABLES.value: self._tables,
+        }
         self._on_config = on_config
         self._on_endpoints = on_endpoints
         self._on_members = on_members
+        self._on_table = on_table
 
     @property
     def has_endpoints(self) -> bool:
@@ -67,6 +82,7 @@
             Topic.CONFIGURATION.value: self._routing.version,
             Topic.ENDPOINTS.value: self._endpoints.revision,
             Topic.MEMBERS.value: self._members.revision,
+            Topic.TABLES.value: self._tables.revision,
         }
 
     def news(self, request: StateRequest) -> StateNews:
@@ -76,7 +92,7 @@
             config = self._routing.config
             plain = {} if config is None else {"": config_to_plain(config)}
             return StateNews(topic, self._routing.version, True, plain)
-        state = self._members if topic == Topic.MEMBERS.value else self._endpoints
+        state = self._state_by_topic[topic]
         changed = state.changed_since(request.revision)
         if changed is None:
             return self._whole(topic, state)
@@ -99,6 +115,9 @@
         if news.topic == Topic.MEMBERS.value:
             self._take_members(items, news.revision, is_whole=news.is_whole)
             return
+        if news.topic == Topic.TABLES.value:
+            self._take_tables(items, news.revision, FROM_PEER, is_whole=news.is_whole)
+            return
         if news.revision < self._endpoints.revision:
             return
         self._merge_endpoints(items, is_whole=news.is_whole)
@@ -115,6 +134,9 @@
         if topic is Topic.MEMBERS:
             self._take_members(items, changes.revision, is_whole=changes.is_whole)
             return
+        if topic is Topic.TABLES:
+            self._take_tables(items, changes.revision, FROM_STORE, is_whole=changes.is_whole)
+            return
         if changes.revision < self._endpoints.revision:
             return
         self._merge_endpoints(items, is_whole=changes.is_whole)
@@ -149,15 +171,19 @@
     def _take_members(
         self, items: dict[str, Member | None], revision: int, *, is_whole: bool
     ) -> None:
-        known = {name: item for name, item in items.items() if item is not None}
-        if is_whole:
-            changed = self._members.replace(known, revision)
-        else:
-            changed = self._members.change(items, revision)
-        if changed:
+        if _update(self._members, items, revision, is_whole=is_whole):
             self._fleet.set_members(self._members.item_by_name.values())
             self._on_members()
 
+    def _take_tables(
+        self, items: dict[str, ServiceTable | None], revision: int, source: str, *, is_whole: bool
+    ) -> None:
+        if not _update(self._tables, items, revision, is_whole=is_whole):
+            return
+        for table in items.values():
+            if table is not None:
+                self._on_table(table, source)
+
     def _merge_endpoints(self, items: dict[str, Registration | None], *, is_whole: bool) -> None:
         known = {name: item for name, item in items.items() if item is not None}
         if is_whole:
@@ -181,3 +207,11 @@
             source=source,
         )
         self._on_endpoints(current.values())
+
+
+def _update(
+    state: TopicState, items: dict[str, Item | None], revision: int, *, is_whole: bool
+) -> bool:
+    if not is_whole:
+        return state.change(items, revision)
+    return state.replace({name: item for name, item in items.items() if item is not None}, revision)
--- a/packages/cassiahaven-entry/cassiahaven_entry/node.py
+++ b/packages/cassiahaven-entry/cassiahaven_entry/node.py
@@ -38,7 +38,7 @@
 from cassiahaven_entry.prober import Prober
 from cassiahaven_entry.service_task import ServiceTask
 from cassiahaven_entry.supervisor import spawn_supervised
-from cassiahaven_entry.tables import Tables
+from cassiahaven_entry.tables import WatchedTables
 
 PROCESS_NAME_BYTES = 6
 DEMAND_INTERVAL_MS = 1000.0
@@ -80,7 +80,7 @@
             for name in settings.service_by_name
         }
         self._build_peers()
-        self.tables = Tables(
+        self.tables = WatchedTables(
             store,
             list(settings.service_by_name),
             on_change=lambda table: self.task_by_service[table.service].set_table(table),
--- a/packages/cassiahaven-entry/cassiahaven_entry/operator_api.py
+++ b/packages/cassiahaven-entry/cassiahaven_entry/operator_api.py
@@ -1,49 +1,30 @@
 """The operators' side: tables, status, explanations and metrics over HTTP."""
 
 import hmac
-import json
 from collections.abc import Callable, Iterable
-from dataclasses import dataclass
 from http import HTTPStatus
 from typing import Any
 
 import eventlet
 from eventlet import wsgi
-from jsonschema import Draft202012Validator
 
+from cassiahaven_core.declaration import KnownNames
 from cassiahaven_core.edge import StoreUnavailable
-from cassiahaven_core.schema import load_schema
-from cassiahaven_core.table import (
-    ANY,
-    DRAIN_ROW_PREFIX,
-    Accepted,
-    CellKey,
-    Conflict,
-    Edit,
-)
-from cassiahaven_core.table_codec import row_to_plain, table_to_plain, value_from_plain
+from cassiahaven_core.table_codec import row_to_plain, table_to_plain
 from cassiahaven_entry.event import LogEvent, log
 from cassiahaven_entry.gateway import Environ
 from cassiahaven_entry.node import Node
-from cassiahaven_entry.tables import EditUndecided
+from cassiahaven_entry.operator_reply import (
+    METRICS_TYPE,
+    BadRequest,
+    Reply,
+    error_reply,
+    json_reply,
+    read_json,
+)
+from cassiahaven_entry.table_edits import edit_table
 
-LARGEST_REQUEST_BYTES = 1_048_576
 SOCKET_TIMEOUT_S = 15.0
-METRICS_TYPE = "text/plain; version=0.0.4; charset=utf-8"
-JSON_TYPE = "application/json"
-
-
-@dataclass(frozen=True, slots=True)
-class Reply:
-    """Hold the answer to an operator's request."""
-
-    status: HTTPStatus
-    body: bytes
-    content_type: str = JSON_TYPE
-
-
-class BadRequest(Exception):
-    """Report a fault in an operator's request."""
 
 
 class OperatorApi:
@@ -83,17 +64,19 @@
         if not hmac.compare_digest(given.encode(), self._authorization.encode()):
             self._node.metrics.operator_rejections.labels("wrong-key").inc()
             log(LogEvent.OPERATOR_REJECTED, reason="wrong-key")
-            return _error(HTTPStatus.UNAUTHORIZED, "wrong or missing operator key")
+            return error_reply(HTTPStatus.UNAUTHORIZED, "wrong or missing operator key")
         try:
             return self._route(environ)
         except BadRequest as error:
             self._node.metrics.operator_rejections.labels("malformed-request").inc()
-            return _error(HTTPStatus.BAD_REQUEST, str(error))
+            return error_reply(HTTPStatus.BAD_REQUEST, str(error))
         except StoreUnavailable as error:
-            return _error(HTTPStatus.SERVICE_UNAVAILABLE, f"object store: {error}")
+            return error_reply(HTTPStatus.SERVICE_UNAVAILABLE, f"object store: {error}")
         except Exception as error:
             log(LogEvent.OPERATOR_REQUEST_FAILED, path=environ["PATH_INFO"], error=repr(error))
-            return _error(HTTPStatus.INTERNAL_SERVER_ERROR, "the entry failed, see event CH-602")
+            return error_reply(
+                HTTPStatus.INTERNAL_SERVER_ERROR, "the entry failed, see event CH-602"
+            )
 
     def _route(self, environ: Environ) -> Reply:
         method = environ["REQUEST_METHOD"]
@@ -102,21 +85,23 @@
             case "GET", ["metrics"]:
                 return Reply(HTTPStatus.OK, self._node.metrics.text(), METRICS_TYPE)
             case "GET", ["v1", "names"]:
-                return _json(self._names())
+                return json_reply(self._names())
             case "GET", ["v1", "status"]:
-                return _json(self._status())
+                return json_reply(self._status())
             case "GET", ["v1", "calls", call_id]:
                 return self._explanation(call_id)
             case "GET", ["v1", "table", service]:
-                return _json(self._table(self._known_service(service)))
+                return json_reply(self._table(self._known_service(service)))
             case "GET", ["v1", "table", service, "history"]:
                 table = self._node.tables.history(self._known_service(service))
-                return _json(table_to_plain(table)["history"])
+                return json_reply(table_to_plain(table)["history"])
             case "GET", ["v1", "table", service, "effective", zone, partner]:
-                return _json(self._effective(self._known_service(service), zone, partner))
+                return json_reply(self._effective(self._known_service(service), zone, partner))
             case "POST", ["v1", "table", service, "edits"]:
-                return self._edit(self._known_service(service), _read_json(environ))
-        return _error(HTTPStatus.NOT_FOUND, "no such resource")
+                known = KnownNames(**{name: frozenset(v) for name, v in self._names().items()})
+                plain = read_json(environ)
+                return edit_table(self._node.tables, self._known_service(service), plain, known)
+        return error_reply(HTTPStatus.NOT_FOUND, "no such resource")
 
     def _known_service(self, service: str) -> str:
         if service not in self._node.settings.service_by_name:
@@ -212,70 +197,5 @@
     def _explanation(self, call_id: str) -> Reply:
         found = self._node.calls.explanations.find(call_id)
         if found is None:
-            return _error(HTTPStatus.NOT_FOUND, f"no memory of call {call_id} at this entry")
-        return _json(found.to_plain())
-
-    def _edit(self, service: str, plain: Any) -> Reply:
-        result = self._node.tables.edit(service, self._read_edit(service, plain))
-        match result:
-            case Accepted(version=version):
-                return _json({"accepted": True, "version": version})
-            case Conflict(current=current, seen_version=seen):
-                body = {"accepted": False, "seen_version": seen, "current": row_to_plain(current)}
-                return Reply(HTTPStatus.CONFLICT, json.dumps(body).encode())
-            case EditUndecided(detail=detail):
-                return _error(
-                    HTTPStatus.SERVICE_UNAVAILABLE,
-                    f"the object store did not confirm the edit, repeat it to settle it: {detail}",
-                )
-
-    def _read_edit(self, service: str, plain: Any) -> Edit:
-        if not isinstance(plain, dict) or set(plain) != {"edit", "row", "seen_version", "value"}:
-            raise BadRequest("an edit has the fields edit, row, seen_version and value")
-        row = plain["row"]
-        is_text = isinstance(row, str) and isinstance(plain["edit"], str)
-        if not is_text or not isinstance(plain["seen_version"], int):
-            raise BadRequest("edit and row are texts, seen_version is an integer")
-        if row.startswith(DRAIN_ROW_PREFIX):
-            if not isinstance(plain["value"], bool):
-                raise BadRequest("the value of an endpoint row is true or false")
-        else:
-            self._check_cell(service, row, plain["value"])
-        return Edit(plain["edit"], row, plain["seen_version"], value_from_plain(plain["value"]))
-
-    def _check_cell(self, service: str, row: str, value: Any) -> None:
-        try:
-            key = CellKey.parse(row)
-        except ValueError as error:
-            raise BadRequest(str(error)) from None
-        settings = self._node.settings
-        findings = []
-        if key.availability_zone not in {ANY, *settings.zone_by_name}:
-            findings.append(f"unknown availability zone {key.availability_zone}")
-        if key.partner not in {ANY, *settings.partner_names}:
-            findings.append(f"unknown partner {key.partner}")
-        if value is not None:
-            document = {"service": service, "cells": {row: value}}
-            for error in Draft202012Validator(load_schema("table")).iter_errors(document):
-                path = ".".join(str(part) for part in list(error.absolute_path)[2:])
-                findings.append(f"{path}: {error.message}" if path else error.message)
-        if findings:
-            raise BadRequest("; ".join(findings))
-
-
-def _read_json(environ: Environ) -> Any:
-    length = environ.get("CONTENT_LENGTH") or "0"
-    if not length.isdigit() or int(length) > LARGEST_REQUEST_BYTES:
-        raise BadRequest("the request is too large")
-    try:
-        return json.loads(environ["wsgi.input"].read(int(length)))
-    except ValueError as error:
-        raise BadRequest(f"not JSON: {error}") from None
-
-
-def _json(value: Any) -> Reply:
-    return Reply(HTTPStatus.OK, json.dumps(value).encode())
-
-
-def _error(status: HTTPStatus, message: str) -> Reply:
-    return Reply(status, json.dumps({"error": message}).encode())
+            return error_reply(HTTPStatus.NOT_FOUND, f"no memory of call {call_id} at this entry")
+        return json_reply(found.to_plain())
--- a/packages/cassiahaven-entry/cassiahaven_entry/routed_calls.py
+++ b/packages/cassiahaven-entry/cassiahaven_entry/routed_calls.py
@@ -5,6 +5,7 @@
 
 from cassiahaven_core.admission import Waiting
 from cassiahaven_core.edge import CallRequest, CallResponse
+from cassiahaven_core.explanation import ExplanationMemory
 from cassiahaven_core.outcome import NotRun, Outcome, Ran, Unknown
 from cassiahaven_core.reason import RefusalReason, UnknownReason
 from cassiahaven_core.route import Route, RouteMiss, RoutingTable
@@ -53,6 +54,7 @@
         self._dialect = dialect
         self._metrics = metrics
         self._numbers = count(1)
+        self.explanations = ExplanationMemory()
 
     def run(self, request: CallRequest) -> CallResponse:
         """Run ``request`` and return what its caller gets."""
@@ -141,6 +143,10 @@
                 pass
 
     def _log(self, call: Call, route: Route, outcome: str, status: int | None) -> None:
+        call.explanation.outcome = outcome
+        # Callers know a call by the id that they gave it.
+        call.explanation.call_id = call.request.request_id or call.call_id
+        self.explanations.add(call.explanation)
         log(
             LogEvent.CALL_ENDED,
             request=call.request.request_id,
--- a/packages/cassiahaven-entry/cassiahaven_entry/routed_main.py
+++ b/packages/cassiahaven-entry/cassiahaven_entry/routed_main.py
@@ -15,9 +15,12 @@
 from eventlet.event import Event
 
 from cassiahaven_core.finding import InvalidDocument
+from cassiahaven_core.routed_settings import SocketAddress
 from cassiahaven_entry.log_stream import LogStream
 from cassiahaven_entry.metrics import Metrics
 from cassiahaven_entry.routed_node import RoutedNode, running
+from cassiahaven_entry.routed_operators import RoutedOperators
+from cassiahaven_entry.side_server import SideServer
 
 EXIT_INVALID_SETTINGS = 2
 EXIT_CANNOT_LISTEN = 3
@@ -42,6 +45,9 @@
     stream.open()
     try:
         node = RoutedNode(settings, adapter, Metrics())
+        host, _, port = node.member.operators.rpartition(":")
+        operators_at = SocketAddress(host, int(port))
+        node.side_servers.append(SideServer(operators_at, RoutedOperators(node).answer))
     except OSError as error:
         print(f"cannot listen: {error}", file=sys.stderr)
         sys.exit(EXIT_CANNOT_LISTEN)
--- a/packages/cassiahaven-entry/cassiahaven_entry/routed_node.py
+++ b/packages/cassiahaven-entry/cassiahaven_entry/routed_node.py
@@ -10,13 +10,14 @@
 from cassiahaven_core.edge import CallResponse, StoreUnavailable, Topic
 from cassiahaven_core.finding import InvalidDocument
 from cassiahaven_core.membership import Fleet, Member
-from cassiahaven_core.peer_message import CrashNotice, DrainNotice, WatcherReport
+from cassiahaven_core.peer_message import CrashNotice, DrainNotice, TableRows, WatcherReport
 from cassiahaven_core.pool import EndpointAddress
 from cassiahaven_core.quarantine import Quarantine
 from cassiahaven_core.registry import Registration
 from cassiahaven_core.retry import RetryTerms
 from cassiahaven_core.route import GatewayConfig, RoutingTable
-from cassiahaven_core.routed_settings import RoutedSettings
+from cassiahaven_core.routed_settings import RoutedSettings, SocketAddress
+from cassiahaven_core.table import ServiceTable
 from cassiahaven_entry.adapter import PlatformAdapter
 from cassiahaven_entry.attempts import AttemptRunner
 from cassiahaven_entry.caller_dialect import Environ
@@ -32,6 +33,7 @@
 from cassiahaven_entry.side_server import SideServer
 from cassiahaven_entry.store_feed import StoreFeed
 from cassiahaven_entry.supervisor import spawn_supervised
+from cassiahaven_entry.tables import Tables
 
 PROCESS_NAME_BYTES = 6
 OK_STATUS = 200
@@ -68,7 +70,7 @@
         self.is_draining = False
         self._is_ready = False
         self._adapter = adapter
-        self._metrics = metrics
+        self.metrics = metrics
         self._task_by_service: dict[str, ServiceTask] = {}
         self._registrations_by_service: dict[str, list[Registration]] = {}
         self._outdated_services: set[str] = set()
@@ -82,6 +84,7 @@
             str(settings.callers),
             str(settings.peers),
             settings.cores,
+            str(SocketAddress(settings.callers.host, settings.metrics_port)),
         )
         self._build_fleet()
         self._build_calls()
@@ -100,6 +103,7 @@
             on_config=self._on_config,
             on_endpoints=self._on_endpoints,
             on_members=self._on_members,
+            on_table=self._take_table,
         )
         state = FleetState(
             report=self._report,
@@ -108,8 +112,14 @@
             on_news=self.view.take_news,
             on_crash=self._on_crash,
         )
-        self.links = FleetLinks(self.fleet, state, key=PEER_KEY, metrics=self._metrics)
-        self.store = self._adapter.make_store(self.settings, self._metrics)
+        self.links = FleetLinks(self.fleet, state, key=PEER_KEY, metrics=self.metrics)
+        self.store = self._adapter.make_store(self.settings, self.metrics)
+        self.tables = Tables(
+            self.store,
+            [],
+            on_change=self._on_table,
+            publish=lambda rows: None,  # the store's watchers tell the others
+        )
         self.feed = StoreFeed(
             self.store,
             is_wanted=self._is_watching,
@@ -126,7 +136,7 @@
             self.transport,
             dialect,
             self.quarantine,
-            metrics=self._metrics,
+            metrics=self.metrics,
             on_drain=self._on_drain,
             on_crash=self._on_suspicion,
         )
@@ -136,7 +146,7 @@
             self.task,
             attempts,
             callers,
-            metrics=self._metrics,
+            metrics=self.metrics,
         )
         callers_at = self.settings.callers
         self.frontend = HttpFrontend(callers_at.host, callers_at.port, dialect=callers)
@@ -146,9 +156,6 @@
                 lambda environ: self._adapter.answer_readiness(environ, self.is_ready),
             ),
             SideServer(self.settings.directory, self._answer_directory),
-            SideServer.for_metrics(
-                self.settings.callers.host, self.settings.metrics_port, self._metrics
-            ),
         ]
 
     def task(self, service: str) -> ServiceTask:
@@ -161,11 +168,13 @@
     def _known_task(self, service: str) -> ServiceTask:
         task = self._task_by_service.get(service)
         if task is None:
+            self.tables.add_service(service)
             task = ServiceTask(service, self.settings.availability_zone)
             self._task_by_service[service] = task
             task.policy.retry_budget.terms = self._retry_terms()
             task.policy.probes_per_s = self.settings.probes_per_s * PROBE_SHARE
             self._outdated_services.add(service)
+            task.set_table(self.tables.table_by_service[service])
         return task
 
     def start(self) -> list[GreenThread]:
@@ -238,6 +247,15 @@
             return []
         return self.fleet.carriers(zone, CARRIER_CORES, now_ms())
 
+    def carrier_names(self) -> set[str]:
+        """Return the entries that callers of any availability zone use."""
+        zones = self.settings.region_by_zone
+        return {member.name for zone in zones for member in self._carriers("", zone)}
+
+    def live_names(self) -> set[str]:
+        """Return the entries that live, as far as this one knows."""
+        return self.fleet.live_names(now_ms())
+
     def _report(self) -> WatcherReport:
         return WatcherReport(
             live=self.fleet.own_subscribers(now_ms()),
@@ -262,6 +280,15 @@
             self._known_task(spec.name).health_path = spec.health_path
         self.links.publish_report()
 
+    def _take_table(self, table: ServiceTable, source: str) -> None:
+        self.tables.add_service(table.service)
+        self.tables.merge_rows(TableRows(table.service, table.revision, table.row_by_name), source)
+
+    def _on_table(self, table: ServiceTable) -> None:
+        task = self._task_by_service.get(table.service)
+        if task is not None:
+            task.set_table(table)
+
     def _on_endpoints(self, registrations: Collection[Registration]) -> None:
         before = self._registrations_by_service
         self._registrations_by_service = {}
@@ -356,8 +383,16 @@
             if news is not None:
                 self.links.publish(news)
             self._note_beliefs()
+            self._share_limits()
             eventlet.sleep(HOUSEKEEPING_INTERVAL_MS / MS_PER_S)
 
+    def _share_limits(self) -> None:
+        """Divide the tables' limits, which hold for the fleet, among the entries that carry."""
+        if any(table.revision for table in self.tables.table_by_service.values()):
+            share = 1 / max(1, len(self.carrier_names()))
+            for task in self._task_by_service.values():
+                task.policy.admission.limit_share = share
+
     def _note_beliefs(self) -> None:
         live = self.fleet.live_names(now_ms())
         if live != self._live:
--- /dev/null
+++ b/packages/cassiahaven-entry/cassiahaven_entry/routed_operators.py
@@ -0,0 +1,210 @@
+"""The operators' side of an entry on a platform: metrics, status, tables and explanations.
+
+It has no key of its own: whoever reaches it reaches the fleet's store too, and may write there.
+"""
+
+from dataclasses import asdict
+from http import HTTPStatus
+from typing import Any
+
+from cassiahaven_core.edge import CallResponse, StoreUnavailable, Topic
+from cassiahaven_core.route import RouteRule
+from cassiahaven_core.table import drain_row
+from cassiahaven_core.table_codec import row_to_plain, table_to_plain
+from cassiahaven_entry.caller_dialect import Environ
+from cassiahaven_entry.event import LogEvent, log
+from cassiahaven_entry.operator_reply import (
+    METRICS_TYPE,
+    BadRequest,
+    Reply,
+    error_reply,
+    json_reply,
+    read_json,
+)
+from cassiahaven_entry.routed_node import RoutedNode
+
+ROUTE_ROW_PREFIX = "route:"
+CONFIGURATION_ROW = "configuration"
+
+
+class RoutedOperators:
+    """Answer operators of one entry.
+
+    Rows of three kinds are read back: cells and drained endpoints, which operators edit here, and
+    routes, which follow the configuration that the platform's operators write.
+
+    Args:
+        node: The entry.
+    """
+
+    def __init__(self, node: RoutedNode) -> None:
+        self._node = node
+
+    def answer(self, environ: Environ) -> CallResponse:
+        """Return the answer to an operator's request."""
+        reply = self._reply(environ)
+        headers = (("Content-Type", reply.content_type),)
+        return CallResponse(reply.status.value, headers, iter((reply.body,)))
+
+    def _reply(self, environ: Environ) -> Reply:
+        try:
+            return self._route(environ)
+        except BadRequest as error:
+            self._node.metrics.operator_rejections.labels("malformed-request").inc()
+            return error_reply(HTTPStatus.BAD_REQUEST, str(error))
+        except StoreUnavailable as error:
+            return error_reply(HTTPStatus.SERVICE_UNAVAILABLE, f"object store: {error}")
+        except Exception as error:
+            log(LogEvent.OPERATOR_REQUEST_FAILED, path=environ["PATH_INFO"], error=repr(error))
+            return error_reply(
+                HTTPStatus.INTERNAL_SERVER_ERROR, "the entry failed, see event CH-602"
+            )
+
+    def _route(self, environ: Environ) -> Reply:
+        parts = environ["PATH_INFO"].strip("/").split("/")
+        match environ["REQUEST_METHOD"], parts:
+            case "GET", ["metrics"]:
+                return Reply(HTTPStatus.OK, self._node.metrics.text(), METRICS_TYPE)
+            case "GET", ["v1", "names"]:
+                return json_reply(self._names())
+            case "GET", ["v1", "status"]:
+                return json_reply(self._status())
+            case "GET", ["v1", "calls", request_id]:
+                return self._explanation(request_id)
+            case "GET", ["v1", "table", service]:
+                return json_reply(self._table(self._known(service)))
+            case "GET", ["v1", "table", service, "history"]:
+                table = self._node.tables.history(self._known(service))
+                return json_reply(table_to_plain(table)["history"])
+            case "GET", ["v1", "table", service, "effective", zone, partner]:
+                return json_reply(self._effective(self._known(service), zone, partner))
+            case "POST", ["v1", "table", service, "edits"]:
+                return self._edit(self._known(service), read_json(environ))
+        return error_reply(HTTPStatus.NOT_FOUND, "no such resource")
+
+    def _known(self, service: str) -> str:
+        if service not in self._node.tables.table_by_service:
+            raise BadRequest(f"unknown service {service}")
+        return service
+
+    def _names(self) -> dict[str, list[str]]:
+        config = self._node.routing.config
+        return {
+            "services": sorted(self._node.tables.table_by_service),
+            "availability_zones": sorted(self._node.settings.region_by_zone),
+            "partners": sorted({route.name for route in config.routes} if config else ()),
+        }
+
+    def _rules(self, service: str) -> dict[str, RouteRule]:
+        config = self._node.routing.config
+        return config.rules(service) if config is not None else {}
+
+    def _table(self, service: str) -> dict[str, Any]:
+        table = self._node.tables.table_by_service[service]
+        rows = {
+            name: {**row_to_plain(row), **self._spread(Topic.TABLES)}
+            for name, row in sorted(table.row_by_name.items())
+        }
+        spread = self._spread(Topic.CONFIGURATION)
+        for route, rule in sorted(self._rules(service).items()):
+            rows[ROUTE_ROW_PREFIX + route] = {
+                "version": self._node.routing.version,
+                "edit": CONFIGURATION_ROW,
+                "value": asdict(rule),
+                **spread,
+            }
+        return {"service": service, "revision": table.revision, "rows": rows}
+
+    def _spread(self, topic: Topic) -> dict[str, Any]:
+        """Return which of the entries that report to this one have what it has."""
+        versions = self._versions(topic)
+        own = self._node.view.versions()[topic.value]
+        missing = sorted(name for name, version in versions.items() if version < own)
+        return {
+            "in_force": len(versions) - len(missing),
+            "entries": len(versions),
+            "missing": missing,
+        }
+
+    def _versions(self, topic: Topic) -> dict[str, int]:
+        versions = {self._node.settings.name: self._node.view.versions()[topic.value]}
+        for name, told in self._node.fleet.versions_by_name.items():
+            versions[name] = told.get(topic.value, 0)
+        return versions
+
+    def _effective(self, service: str, zone: str, partner: str) -> dict[str, Any]:
+        cell = self._node.tables.table_by_service[service].effective(zone, partner)
+        fields = {name: {"value": item.value, "row": item.row} for name, item in cell.items()}
+        rule = self._rules(service).get(partner)
+        if rule is not None:
+            row = f"{ROUTE_ROW_PREFIX}{partner}, configuration {self._node.routing.version}"
+            fields |= {name: {"value": value, "row": row} for name, value in asdict(rule).items()}
+        return fields
+
+    def _status(self) -> dict[str, Any]:
+        node = self._node
+        live = node.live_names()
+        entries = [
+            {
+                "name": member.name,
+                "process": member.process,
+                "availability_zone": member.availability_zone,
+                "host": member.callers.rpartition(":")[0],
+                "caller_port": int(member.callers.rpartition(":")[2]),
+                "operator_port": int(member.operators.rpartition(":")[2]),
+                "draining": member.name in node.fleet.draining,
+            }
+            for member in node.fleet.member_by_name.values()
+            if member.name in live
+        ]
+        return {
+            "entry": node.settings.name,
+            "store_available": node.feed.is_available,
+            "entries": sorted(entries, key=lambda item: item["name"]),
+            "unreachable": sorted(node.fleet.member_by_name.keys() - live),
+            "services": {
+                name: self._service_status(name) for name in sorted(node.tables.table_by_service)
+            },
+        }
+
+    def _service_status(self, service: str) -> dict[str, Any]:
+        task = self._node.task(service)
+        drained = self._node.tables.table_by_service[service].row_by_name
+        return {
+            "revision_by_entry": self._versions(Topic.CONFIGURATION),
+            "active": sorted(self._node.carrier_names()),
+            "standby": [],
+            "demand_per_s": round(task.demand_per_s, 1),
+            "waiting": task.policy.admission.waiting,
+            "endpoints": {
+                name: {
+                    "status": endpoint.status.value,
+                    "reason": endpoint.status_reason,
+                    "in_flight": endpoint.in_flight,
+                    "slots": endpoint.address.slots,
+                    "reported_in_flight": endpoint.reported.running if endpoint.reported else None,
+                    "slowness": round(endpoint.slowness, 2),
+                    "failures": endpoint.consecutive_failures,
+                    "availability_zone": endpoint.address.availability_zone,
+                    "drained_by_operator": drain_row(name) in drained,
+                }
+                for name, endpoint in sorted(task.policy.pool.endpoint_by_id.items())
+            },
+        }
+
+    def _explanation(self, request_id: str) -> Reply:
+        found = self._node.calls.explanations.find(request_id)
+        if found is None:
+            message = f"no memory of call {request_id} at this entry"
+            return error_reply(HTTPStatus.NOT_FOUND, message)
+        return json_reply(found.to_plain())
+
+    def _edit(self, service: str, plain: Any) -> Reply:
+        if isinstance(plain, dict) and str(plain.get("row", "")).startswith(ROUTE_ROW_PREFIX):
+            raise BadRequest("rows of routes follow the configuration; change that")
+        # Checking an edit needs a library that takes long to load, and edits are rare.
+        from cassiahaven_core.declaration import KnownNames
+        from cassiahaven_entry.table_edits import edit_table
+
+        names = {name: frozenset(listed) for name, listed in self._names().items()}
+        return edit_table(self._node.tables, service, plain, KnownNames(**names))
--- a/packages/cassiahaven-entry/cassiahaven_entry/side_server.py
+++ b/packages/cassiahaven-entry/cassiahaven_entry/side_server.py
@@ -1,4 +1,4 @@
-"""Small HTTP servers beside the callers': readiness, directory, metrics."""
+"""Small HTTP servers beside the callers': readiness, directory, operators."""
 
 from collections.abc import Callable, Iterable
 
@@ -8,7 +8,6 @@
 from cassiahaven_core.edge import CallResponse
 from cassiahaven_core.routed_settings import SocketAddress
 from cassiahaven_entry.caller_dialect import Environ
-from cassiahaven_entry.metrics import Metrics
 
 SOCKET_TIMEOUT_S = 5.0  # questions are one small packet each
 LARGEST_CONNECTION_COUNT = 256
@@ -16,7 +15,7 @@
 
 
 class SideServer:
-    """Answer each request with a function that does not wait.
+    """Answer each request with a function.
 
     Args:
         address: Where to listen.
@@ -30,13 +29,6 @@
         )
         self._pool = eventlet.GreenPool(LARGEST_CONNECTION_COUNT)
 
-    @classmethod
-    def for_metrics(cls, host: str, port: int, metrics: Metrics) -> "SideServer":
-        """Return a server of the metrics."""
-        headers = (("Content-Type", "text/plain; version=0.0.4; charset=utf-8"),)
-        address = SocketAddress(host, port)
-        return cls(address, lambda _: CallResponse(200, headers, iter((metrics.text(),))))
-
     def run(self) -> None:
         """Serve until the process ends."""
         wsgi.server(
--- a/packages/cassiahaven-entry/cassiahaven_entry/tables.py
+++ b/packages/cassiahaven-entry/cassiahaven_entry/tables.py
@@ -6,7 +6,7 @@
 
 import eventlet
 
-from cassiahaven_core.edge import ObjectStore, StoredObject, StoreUnavailable
+from cassiahaven_core.edge import ObjectStore, StoredObject, StoreUnavailable, VersionedStore
 from cassiahaven_core.peer_message import TableRows, revision_digest
 from cassiahaven_core.table import Accepted, Conflict, Edit, ServiceTable
 from cassiahaven_core.table_codec import table_from_plain, table_to_plain
@@ -30,15 +30,15 @@
     """Own the newest known table of every service.
 
     Args:
-        store: The platform's object store.
-        services: Names of all services.
+        store: Where the tables last.
+        services: Names of all services; more may be added.
         on_change: Called with each table that changed.
         publish: Sends a table's rows to all peers.
     """
 
     def __init__(
         self,
-        store: ObjectStore,
+        store: VersionedStore,
         services: list[str],
         *,
         on_change: Callable[[ServiceTable], None],
@@ -46,11 +46,13 @@
     ) -> None:
         self.table_by_service = {name: ServiceTable(name) for name in services}
         self.digest = revision_digest({})
-        self.is_store_available = True
         self._store = store
         self._on_change = on_change
         self._publish = publish
-        self._revision = 0
+
+    def add_service(self, name: str) -> None:
+        """Hold a table for the service too."""
+        self.table_by_service.setdefault(name, ServiceTable(name))
 
     @property
     def revision_by_service(self) -> dict[str, int]:
@@ -85,21 +87,6 @@
         )
         self._on_change(table)
 
-    def watch_once(self) -> None:
-        """Wait for changes in the store and merge them."""
-        try:
-            result = self._store.watch(TABLE_PREFIX, revision=self._revision, wait_ms=WATCH_WAIT_MS)
-        except StoreUnavailable as error:
-            self._note_store(False, str(error))
-            # A store that lost its memory may count from zero again.
-            self._revision = 0
-            eventlet.sleep(STORE_RETRY_DELAY_MS / MS_PER_S)
-            return
-        self._note_store(True)
-        self._revision = result.revision
-        for stored in result.objects:
-            self._merge_stored(stored)
-
     def edit(self, service: str, edit: Edit) -> Accepted | Conflict | EditUndecided:
         """Apply ``edit`` in the store, then put it in force here and at all peers.
 
@@ -165,6 +152,47 @@
             message = TableRows(service, table.revision, {edit.row: row}, table.revision - 1)
         self._publish(message)
 
+
+class WatchedTables(Tables):
+    """Follow the tables in the platform's object store.
+
+    Args:
+        store: The platform's object store.
+        services: Names of all services.
+        on_change: Called with each table that changed.
+        publish: Sends a table's rows to all peers.
+    """
+
+    def __init__(
+        self,
+        store: ObjectStore,
+        services: list[str],
+        *,
+        on_change: Callable[[ServiceTable], None],
+        publish: Callable[[TableRows], None],
+    ) -> None:
+        super().__init__(store, services, on_change=on_change, publish=publish)
+        self.is_store_available = True
+        self._watched_store = store
+        self._revision = 0
+
+    def watch_once(self) -> None:
+        """Wait for changes in the store and merge them."""
+        try:
+            result = self._watched_store.watch(
+                TABLE_PREFIX, revision=self._revision, wait_ms=WATCH_WAIT_MS
+            )
+        except StoreUnavailable as error:
+            self._note_store(False, str(error))
+            # A store that lost its memory may count from zero again.
+            self._revision = 0
+            eventlet.sleep(STORE_RETRY_DELAY_MS / MS_PER_S)
+            return
+        self._note_store(True)
+        self._revision = result.revision
+        for stored in result.objects:
+            self._merge_stored(stored)
+
     def _merge_stored(self, stored: StoredObject) -> None:
         try:
             table = table_from_plain(json.loads(stored.value))
--- a/packages/cassiahaven-entry/tests/test_store_feed.py
+++ b/packages/cassiahaven-entry/tests/test_store_feed.py
@@ -22,13 +22,19 @@
 
     def watch(self, topic, *, revision, wait_ms):
         self.watches.append(topic)
-        if topic is Topic.MEMBERS and self.watches.count(topic) == 1:
+        if topic is Topic.TABLES and self.watches.count(topic) == 1:
             raise StoreUnavailable("reset")
         eventlet.sleep(3600)
 
     def register(self, member):
         pass
 
+    def get(self, key):
+        return None
+
+    def put(self, key, value, *, version):
+        return None
+
     def check(self):
         pass
 
--- a/packages/cassiahaven-entry/tests/test_tables.py
+++ b/packages/cassiahaven-entry/tests/test_tables.py
@@ -15,7 +15,7 @@
 from cassiahaven_core.table import Accepted, CellValue, Conflict, Edit
 from cassiahaven_core.table_codec import table_from_plain
 from cassiahaven_entry import tables as tables_module
-from cassiahaven_entry.tables import TABLE_PREFIX, EditUndecided, Tables
+from cassiahaven_entry.tables import TABLE_PREFIX, EditUndecided, WatchedTables
 from cassiahaven_standins.memory_store import MemoryStore
 
 SERVICE = "lookup"
@@ -35,7 +35,7 @@
         self.seen = [dict.fromkeys(ROWS, 0) for _ in range(3)]
 
     def new_entry(self):
-        return Tables(
+        return WatchedTables(
             self.store, [SERVICE], on_change=lambda table: None, publish=self.messages.append
         )
 
@@ -123,7 +123,9 @@
 
 
 def test_lost_memory_of_the_store_does_not_take_rows_back(store, clock):
-    tables = Tables(store, [SERVICE], on_change=lambda table: None, publish=lambda message: None)
+    tables = WatchedTables(
+        store, [SERVICE], on_change=lambda table: None, publish=lambda message: None
+    )
     for number in range(3):
         edit = Edit(str(number), "*/*", number, CellValue(weight=float(number)))
         tables.edit(SERVICE, edit)
@@ -136,6 +138,8 @@
 
 def test_malformed_object_in_the_store_is_skipped(store, clock):
     store.put(TABLE_PREFIX + SERVICE, b"not json", version=0)
-    tables = Tables(store, [SERVICE], on_change=lambda table: None, publish=lambda message: None)
+    tables = WatchedTables(
+        store, [SERVICE], on_change=lambda table: None, publish=lambda message: None
+    )
     tables.watch_once()
     assert tables.revision_by_service == {}
--- a/packages/cassiahaven-standins/cassiahaven_standins/platform_store.py
+++ b/packages/cassiahaven-standins/cassiahaven_standins/platform_store.py
@@ -117,6 +117,11 @@
         if (kind, name) not in self.state.object_by_key:
             self._send(404, None)
             return
+        known = self.state.object_by_key[kind, name]
+        expected = body["metadata"].get("revision")
+        if expected is not None and expected != known["metadata"]["revision"]:
+            self._send(409, known)
+            return
         self.state.put(kind, name, body["spec"])
         self._send(200, self.state.object_by_key[kind, name])
 
--- /dev/null
+++ b/tests/test_platform_operators.py
@@ -0,0 +1,134 @@
+"""Operators' commands against entries on a stand-in of the platform."""
+
+import json
+from itertools import count
+
+import pytest
+
+from cassiahaven_standins.fleet import wait_until
+from cassiahaven_standins.platform_fleet import platform_fleet
+
+ROUTE = "r-safe-x"
+BOUND_S = 2.0
+
+
+@pytest.fixture
+def fleet(tmp_path):
+    with platform_fleet(tmp_path, entries=3) as running:
+        running.add_endpoint("i-1", "one")
+        running.add_endpoint("i-2", "one")
+        running.configure({"x": "one"})
+        running.start()
+        yield running
+
+
+@pytest.fixture
+def call(fleet):
+    numbers = count()
+
+    def send(entry):
+        request = f"req-{next(numbers)}"
+        status, _, headers = fleet.call(entry, "GET", "/safe/x/", request=request)
+        return status, request, headers
+
+    return send
+
+
+@pytest.fixture
+def rows(fleet, run_command):
+    def read(service="one"):
+        shown = run_command(fleet, "table", "get", service, "--json")
+        assert shown.returncode == 0, shown.stderr
+        return json.loads(shown.stdout)["rows"]
+
+    return read
+
+
+def test_routes_are_rows_of_the_table_with_what_is_in_force_and_why(fleet, run_command, rows):
+    wait_until(lambda: rows()[f"route:{ROUTE}"]["in_force"] == 3, "the configuration everywhere")
+    row = rows()[f"route:{ROUTE}"]
+    assert (row["version"], row["entries"], row["missing"]) == (fleet.version, 3, [])
+    assert row["value"]["timeout_ms"] == 2000.0
+    assert row["value"]["is_idempotent"] is True
+    shown = run_command(fleet, "table", "get", "one", "a", ROUTE).stdout
+    assert f"route:{ROUTE}, configuration {fleet.version}" in shown
+    assert "built-in" in shown
+    fleet.configure({"x": "one"}, timeout_ms=1500)
+    wait_until(lambda: rows()[f"route:{ROUTE}"]["value"]["timeout_ms"] == 1500.0, "the new version")
+
+
+def test_a_cell_is_changed_and_takes_effect_at_every_entry(fleet, run_command, rows, call):
+    assert [call(entry)[0] for entry in fleet.entries] == [200] * 3
+    done = run_command(fleet, "table", "set", "one", f"*/{ROUTE}", "--weight", "0")
+    assert done.returncode == 0, done.stderr
+    wait_until(
+        lambda: [call(entry)[0] for entry in fleet.entries] == [503] * 3,
+        "the route is blocked everywhere",
+        timeout_s=BOUND_S,
+    )
+    wait_until(lambda: rows()[f"*/{ROUTE}"]["in_force"] == 3, "the row is in force everywhere")
+    assert run_command(fleet, "table", "unset", "one", f"*/{ROUTE}").returncode == 0
+    wait_until(
+        lambda: [call(entry)[0] for entry in fleet.entries] == [200] * 3,
+        "the route is open again",
+        timeout_s=BOUND_S,
+    )
+    history = run_command(fleet, "table", "history", "one").stdout
+    assert history.count(f"*/{ROUTE}") == 2
+
+
+def test_an_entry_that_starts_later_has_the_table_too(fleet, run_command, call):
+    run_command(fleet, "table", "set", "one", f"*/{ROUTE}", "--weight", "0")
+    for entry in fleet.entries:
+        entry.close()
+    for entry in fleet.entries:
+        entry.start()
+    wait_until(lambda: all(entry.is_ready() for entry in fleet.entries), "entries are ready")
+    wait_until(lambda: call(fleet.entries[0])[0] == 503, "the row lasts on the store")
+
+
+def test_a_drained_endpoint_gets_no_calls(fleet, run_command, call):
+    assert run_command(fleet, "drain", "one", "i-1").returncode == 0
+    wait_until(
+        lambda: "drained_by_operator" in run_command(fleet, "status").stdout, "the drain is seen"
+    )
+    before = len(fleet.endpoint_by_name["i-1"].state.ran)
+    assert {call(fleet.entries[0])[0] for _ in range(10)} == {200}
+    assert len(fleet.endpoint_by_name["i-1"].state.ran) == before
+
+
+def test_status_names_entries_carriers_and_endpoints(fleet, run_command):
+    plain = json.loads(run_command(fleet, "status", "--json").stdout)
+    assert {entry["name"] for entry in plain["entries"]} == {item.name for item in fleet.entries}
+    assert plain["store_available"]
+    service = plain["services"]["one"]
+    assert set(service["endpoints"]) == {"i-1", "i-2"}
+    assert service["active"]
+    listed = run_command(fleet, "addresses", "one").stdout
+    assert all(name in listed for name in service["active"])
+
+
+def test_a_caller_s_id_leads_to_the_explanation(fleet, run_command, call):
+    run_command(fleet, "table", "set", "one", f"*/{ROUTE}", "--weight", "0")
+    wait_until(lambda: call(fleet.entries[2])[0] == 503, "the route is blocked")
+    _, request, _ = call(fleet.entries[2])
+    shown = run_command(fleet, "why", request)
+    assert shown.returncode == 0, shown.stderr
+    assert "not-run; reason=partner-blocked" in shown.stdout
+
+
+@pytest.mark.parametrize(
+    "arguments",
+    [
+        ("table", "get", "nowhere"),
+        ("table", "set", "one", f"route:{ROUTE}", "--weight", "2"),
+        ("table", "set", "one", "nowhere/*", "--weight", "2"),
+        ("table", "set", "one", "*/nobody", "--weight", "2"),
+        ("table", "set", "one", "*/*", "--weight", "-1"),
+    ],
+)
+def test_what_cannot_be_done_is_refused_with_its_reason(fleet, run_command, arguments):
+    done = run_command(fleet, *arguments)
+    assert done.returncode == 2
+    assert done.stderr.strip()
+    assert "Traceback" not in done.stderr
--- a/tests/test_platform_translation.py
+++ b/tests/test_platform_translation.py
@@ -230,7 +230,14 @@
 
 
 def test_member_survives_the_store():
-    spec = {"process": "p", "zone": "a", "callers": "h:1", "peers": "h:2", "cores": 0.86}
+    spec = {
+        "process": "p",
+        "zone": "a",
+        "callers": "h:1",
+        "peers": "h:2",
+        "cores": 0.86,
+        "operators": "h:3",
+    }
     member = decode_member(stored(spec, "edge-a-1")).item
     assert encode_member(member) == spec
 
@@ -317,7 +324,17 @@
 
 def test_directory_and_readiness():
     member = decode_member(
-        stored({"process": "p", "zone": "a", "callers": "h:1", "peers": "h:2", "cores": 1.0}, "m")
+        stored(
+            {
+                "process": "p",
+                "zone": "a",
+                "callers": "h:1",
+                "peers": "h:2",
+                "cores": 1.0,
+                "operators": "h:3",
+            },
+            "m",
+        )
     ).item
     question = {"PATH_INFO": "/cassiahaven/lookup", "QUERY_STRING": "name=h.example&zone=a"}
     answer = answer_directory(question, lambda host, zone: [member], 2000.0)
