--- a/packages/cassiahaven-entry/cassiahaven_entry/operator_api.py
+++ b/packages/cassiahaven-entry/cassiahaven_entry/operator_api.py
@@ -18,6 +18,7 @@
     METRICS_TYPE,
     BadRequest,
     Reply,
+    endpoints_to_plain,
     error_reply,
     json_reply,
     read_json,
@@ -179,19 +180,7 @@
             "standby": [entry.name for entry in chosen.standby],
             "demand_per_s": round(task.demand_per_s, 1),
             "waiting": task.policy.admission.waiting,
-            "endpoints": {
-                name: {
-                    "status": endpoint.status.value,
-                    "reason": endpoint.status_reason,
-                    "in_flight": endpoint.in_flight,
-                    "slots": endpoint.address.slots,
-                    "reported_in_flight": endpoint.reported.running if endpoint.reported else None,
-                    "slowness": round(endpoint.slowness, 2),
-                    "failures": endpoint.consecutive_failures,
-                    "availability_zone": endpoint.address.availability_zone,
-                }
-                for name, endpoint in sorted(task.policy.pool.endpoint_by_id.items())
-            },
+            "endpoints": endpoints_to_plain(task.policy.pool),
         }
 
     def _explanation(self, call_id: str) -> Reply:
--- a/packages/cassiahaven-entry/cassiahaven_entry/operator_reply.py
+++ b/packages/cassiahaven-entry/cassiahaven_entry/operator_reply.py
@@ -5,6 +5,7 @@
 from http import HTTPStatus
 from typing import Any
 
+from cassiahaven_core.pool import Pool
 from cassiahaven_entry.caller_dialect import Environ
 
 LARGEST_REQUEST_BYTES = 1_048_576
@@ -40,6 +41,23 @@
         raise BadRequest(f"not JSON: {error}") from None
 
 
+def endpoints_to_plain(pool: Pool) -> dict[str, dict[str, Any]]:
+    """Return the endpoints of a service and why each is in or out, by name."""
+    return {
+        name: {
+            "status": endpoint.status.value,
+            "reason": endpoint.status_reason,
+            "in_flight": endpoint.in_flight,
+            "slots": endpoint.address.slots,
+            "reported_in_flight": endpoint.reported.running if endpoint.reported else None,
+            "slowness": round(endpoint.slowness, 2),
+            "failures": endpoint.consecutive_failures,
+            "availability_zone": endpoint.address.availability_zone,
+        }
+        for name, endpoint in sorted(pool.endpoint_by_id.items())
+    }
+
+
 def json_reply(value: Any) -> Reply:
     """Return ``value`` as the answer."""
     return Reply(HTTPStatus.OK, json.dumps(value).encode())
--- a/packages/cassiahaven-entry/cassiahaven_entry/routed_operators.py
+++ b/packages/cassiahaven-entry/cassiahaven_entry/routed_operators.py
@@ -9,7 +9,6 @@
 
 from cassiahaven_core.edge import CallResponse, StoreUnavailable, Topic
 from cassiahaven_core.route import RouteRule
-from cassiahaven_core.table import drain_row
 from cassiahaven_core.table_codec import row_to_plain, table_to_plain
 from cassiahaven_entry.caller_dialect import Environ
 from cassiahaven_entry.event import LogEvent, log
@@ -17,6 +16,7 @@
     METRICS_TYPE,
     BadRequest,
     Reply,
+    endpoints_to_plain,
     error_reply,
     json_reply,
     read_json,
@@ -169,27 +169,13 @@
 
     def _service_status(self, service: str) -> dict[str, Any]:
         task = self._node.task(service)
-        drained = self._node.tables.table_by_service[service].row_by_name
         return {
             "revision_by_entry": self._versions(Topic.CONFIGURATION),
             "active": sorted(self._node.carrier_names()),
             "standby": [],
             "demand_per_s": round(task.demand_per_s, 1),
             "waiting": task.policy.admission.waiting,
-            "endpoints": {
-                name: {
-                    "status": endpoint.status.value,
-                    "reason": endpoint.status_reason,
-                    "in_flight": endpoint.in_flight,
-                    "slots": endpoint.address.slots,
-                    "reported_in_flight": endpoint.reported.running if endpoint.reported else None,
-                    "slowness": round(endpoint.slowness, 2),
-                    "failures": endpoint.consecutive_failures,
-                    "availability_zone": endpoint.address.availability_zone,
-                    "drained_by_operator": drain_row(name) in drained,
-                }
-                for name, endpoint in sorted(task.policy.pool.endpoint_by_id.items())
-            },
+            "endpoints": endpoints_to_plain(task.policy.pool),
         }
 
     def _explanation(self, request_id: str) -> Reply:
