--- a/packages/cassiahaven-entry/cassiahaven_entry/operator_api.py
+++ b/packages/cassiahaven-entry/cassiahaven_entry/operator_api.py
@@ -8,27 +8,22 @@
 import eventlet
 from eventlet import wsgi
 
-from cassiahaven_core.declaration import KnownNames
-from cassiahaven_core.edge import StoreUnavailable
-from cassiahaven_core.table_codec import row_to_plain, table_to_plain
+from cassiahaven_core.explanation import Explanation
+from cassiahaven_core.table_codec import row_to_plain
 from cassiahaven_entry.event import LogEvent, log
 from cassiahaven_entry.gateway import Environ
 from cassiahaven_entry.node import Node
-from cassiahaven_entry.operator_reply import (
-    METRICS_TYPE,
-    BadRequest,
+from cassiahaven_entry.operator_side import (
+    OperatorSide,
     Reply,
     endpoints_to_plain,
     error_reply,
-    json_reply,
-    read_json,
 )
-from cassiahaven_entry.table_edits import edit_table
 
 SOCKET_TIMEOUT_S = 15.0
 
 
-class OperatorApi:
+class OperatorApi(OperatorSide):
     """Serve operators of one entry.
 
     Args:
@@ -36,6 +31,7 @@
     """
 
     def __init__(self, node: Node) -> None:
+        super().__init__(node.tables, node.metrics)
         self._node = node
         self._authorization = f"Bearer {node.settings.keys.operator}"
         entry = node.settings.entry
@@ -66,48 +62,7 @@
             self._node.metrics.operator_rejections.labels("wrong-key").inc()
             log(LogEvent.OPERATOR_REJECTED, reason="wrong-key")
             return error_reply(HTTPStatus.UNAUTHORIZED, "wrong or missing operator key")
-        try:
-            return self._route(environ)
-        except BadRequest as error:
-            self._node.metrics.operator_rejections.labels("malformed-request").inc()
-            return error_reply(HTTPStatus.BAD_REQUEST, str(error))
-        except StoreUnavailable as error:
-            return error_reply(HTTPStatus.SERVICE_UNAVAILABLE, f"object store: {error}")
-        except Exception as error:
-            log(LogEvent.OPERATOR_REQUEST_FAILED, path=environ["PATH_INFO"], error=repr(error))
-            return error_reply(
-                HTTPStatus.INTERNAL_SERVER_ERROR, "the entry failed, see event CH-602"
-            )
-
-    def _route(self, environ: Environ) -> Reply:
-        method = environ["REQUEST_METHOD"]
-        parts = environ["PATH_INFO"].strip("/").split("/")
-        match method, parts:
-            case "GET", ["metrics"]:
-                return Reply(HTTPStatus.OK, self._node.metrics.text(), METRICS_TYPE)
-            case "GET", ["v1", "names"]:
-                return json_reply(self._names())
-            case "GET", ["v1", "status"]:
-                return json_reply(self._status())
-            case "GET", ["v1", "calls", call_id]:
-                return self._explanation(call_id)
-            case "GET", ["v1", "table", service]:
-                return json_reply(self._table(self._known_service(service)))
-            case "GET", ["v1", "table", service, "history"]:
-                table = self._node.tables.history(self._known_service(service))
-                return json_reply(table_to_plain(table)["history"])
-            case "GET", ["v1", "table", service, "effective", zone, partner]:
-                return json_reply(self._effective(self._known_service(service), zone, partner))
-            case "POST", ["v1", "table", service, "edits"]:
-                known = KnownNames(**{name: frozenset(v) for name, v in self._names().items()})
-                plain = read_json(environ)
-                return edit_table(self._node.tables, self._known_service(service), plain, known)
-        return error_reply(HTTPStatus.NOT_FOUND, "no such resource")
-
-    def _known_service(self, service: str) -> str:
-        if service not in self._node.settings.service_by_name:
-            raise BadRequest(f"unknown service {service}")
-        return service
+        return self.reply(environ)
 
     def _names(self) -> dict[str, Any]:
         settings = self._node.settings
@@ -183,8 +138,5 @@
             "endpoints": endpoints_to_plain(task.policy.pool),
         }
 
-    def _explanation(self, call_id: str) -> Reply:
-        found = self._node.calls.explanations.find(call_id)
-        if found is None:
-            return error_reply(HTTPStatus.NOT_FOUND, f"no memory of call {call_id} at this entry")
-        return json_reply(found.to_plain())
+    def _find_explanation(self, call_id: str) -> Explanation | None:
+        return self._node.calls.explanations.find(call_id)
--- a/packages/cassiahaven-entry/cassiahaven_entry/routed_operators.py
+++ b/packages/cassiahaven-entry/cassiahaven_entry/routed_operators.py
@@ -4,30 +4,21 @@
 """
 
 from dataclasses import asdict
-from http import HTTPStatus
 from typing import Any
 
-from cassiahaven_core.edge import CallResponse, StoreUnavailable, Topic
+from cassiahaven_core.edge import CallResponse, Topic
+from cassiahaven_core.explanation import Explanation
 from cassiahaven_core.route import RouteRule
-from cassiahaven_core.table_codec import row_to_plain, table_to_plain
+from cassiahaven_core.table_codec import row_to_plain
 from cassiahaven_entry.caller_dialect import Environ
-from cassiahaven_entry.event import LogEvent, log
-from cassiahaven_entry.operator_reply import (
-    METRICS_TYPE,
-    BadRequest,
-    Reply,
-    endpoints_to_plain,
-    error_reply,
-    json_reply,
-    read_json,
-)
+from cassiahaven_entry.operator_side import BadRequest, OperatorSide, Reply, endpoints_to_plain
 from cassiahaven_entry.routed_node import RoutedNode
 
 ROUTE_ROW_PREFIX = "route:"
 CONFIGURATION_ROW = "configuration"
 
 
-class RoutedOperators:
+class RoutedOperators(OperatorSide):
     """Answer operators of one entry.
 
     Rows of three kinds are read back: cells and drained endpoints, which operators edit here, and
@@ -38,55 +29,15 @@
     """
 
     def __init__(self, node: RoutedNode) -> None:
+        super().__init__(node.tables, node.metrics)
         self._node = node
 
     def answer(self, environ: Environ) -> CallResponse:
         """Return the answer to an operator's request."""
-        reply = self._reply(environ)
+        reply = self.reply(environ)
         headers = (("Content-Type", reply.content_type),)
         return CallResponse(reply.status.value, headers, iter((reply.body,)))
 
-    def _reply(self, environ: Environ) -> Reply:
-        try:
-            return self._route(environ)
-        except BadRequest as error:
-            self._node.metrics.operator_rejections.labels("malformed-request").inc()
-            return error_reply(HTTPStatus.BAD_REQUEST, str(error))
-        except StoreUnavailable as error:
-            return error_reply(HTTPStatus.SERVICE_UNAVAILABLE, f"object store: {error}")
-        except Exception as error:
-            log(LogEvent.OPERATOR_REQUEST_FAILED, path=environ["PATH_INFO"], error=repr(error))
-            return error_reply(
-                HTTPStatus.INTERNAL_SERVER_ERROR, "the entry failed, see event CH-602"
-            )
-
-    def _route(self, environ: Environ) -> Reply:
-        parts = environ["PATH_INFO"].strip("/").split("/")
-        match environ["REQUEST_METHOD"], parts:
-            case "GET", ["metrics"]:
-                return Reply(HTTPStatus.OK, self._node.metrics.text(), METRICS_TYPE)
-            case "GET", ["v1", "names"]:
-                return json_reply(self._names())
-            case "GET", ["v1", "status"]:
-                return json_reply(self._status())
-            case "GET", ["v1", "calls", request_id]:
-                return self._explanation(request_id)
-            case "GET", ["v1", "table", service]:
-                return json_reply(self._table(self._known(service)))
-            case "GET", ["v1", "table", service, "history"]:
-                table = self._node.tables.history(self._known(service))
-                return json_reply(table_to_plain(table)["history"])
-            case "GET", ["v1", "table", service, "effective", zone, partner]:
-                return json_reply(self._effective(self._known(service), zone, partner))
-            case "POST", ["v1", "table", service, "edits"]:
-                return self._edit(self._known(service), read_json(environ))
-        return error_reply(HTTPStatus.NOT_FOUND, "no such resource")
-
-    def _known(self, service: str) -> str:
-        if service not in self._node.tables.table_by_service:
-            raise BadRequest(f"unknown service {service}")
-        return service
-
     def _names(self) -> dict[str, list[str]]:
         config = self._node.routing.config
         return {
@@ -178,19 +129,10 @@
             "endpoints": endpoints_to_plain(task.policy.pool),
         }
 
-    def _explanation(self, request_id: str) -> Reply:
-        found = self._node.calls.explanations.find(request_id)
-        if found is None:
-            message = f"no memory of call {request_id} at this entry"
-            return error_reply(HTTPStatus.NOT_FOUND, message)
-        return json_reply(found.to_plain())
+    def _find_explanation(self, call_id: str) -> Explanation | None:
+        return self._node.calls.explanations.find(call_id)
 
     def _edit(self, service: str, plain: Any) -> Reply:
         if isinstance(plain, dict) and str(plain.get("row", "")).startswith(ROUTE_ROW_PREFIX):
             raise BadRequest("rows of routes follow the configuration; change that")
-        # Checking an edit needs a library that takes long to load, and edits are rare.
-        from cassiahaven_core.declaration import KnownNames
-        from cassiahaven_entry.table_edits import edit_table
-
-        names = {name: frozenset(listed) for name, listed in self._names().items()}
-        return edit_table(self._node.tables, service, plain, KnownNames(**names))
+        return super()._edit(service, plain)
