Log which removed endpoints stay in use, why, and who passed the news on

With these the hypotheses of the incident of calls to removed endpoints can be told apart in one entry's log. No decision changes.

--- a/packages/cassiahaven-core/cassiahaven_core/registry.py
+++ b/packages/cassiahaven-core/cassiahaven_core/registry.py
@@ -47,6 +47,16 @@
         self._is_away = False
         self._lapsed: set[str] = set()
 
+    @property
+    def kept_endpoints(self) -> frozenset[str]:
+        """Return the endpoints that are in use though their registration is gone."""
+        return frozenset(self._lapsed)
+
+    @property
+    def is_store_away(self) -> bool:
+        """Tell whether the store is taken to be away."""
+        return self._is_away
+
     def note_store(self, *, is_available: bool, now_ms: float) -> None:
         """Take in that the store went away or came back."""
         if self._is_away and is_available:
--- a/packages/cassiahaven-entry/cassiahaven_entry/fleet_links.py
+++ b/packages/cassiahaven-entry/cassiahaven_entry/fleet_links.py
@@ -41,7 +41,7 @@
         report: Returns what this entry tells its subscribers.
         versions: Returns the version of each topic that this entry has, by name.
         news: Returns the answer to a request for a topic.
-        on_news: Called with what a watcher passed on.
+        on_news: Called with what a watcher passed on and with its name.
         on_crash: Called with a notice of a request that crashed an endpoint.
     """
 
@@ -53,7 +53,7 @@
         report: Callable[[], WatcherReport],
         versions: Callable[[], dict[str, int]],
         news: Callable[[StateRequest], StateNews],
-        on_news: Callable[[StateNews], None],
+        on_news: Callable[[StateNews, str], None],
         on_crash: Callable[[CrashNotice], None],
     ) -> None:
         self.report = report
@@ -166,7 +166,7 @@
                 self._ask()
             case StateNews(topic=topic):
                 self._questions.settle(topic)
-                self._state.on_news(message)
+                self._state.on_news(message, self.name)
             case CrashNotice():
                 self._state.on_crash(message)
 
--- a/packages/cassiahaven-entry/cassiahaven_entry/fleet_view.py
+++ b/packages/cassiahaven-entry/cassiahaven_entry/fleet_view.py
@@ -26,6 +26,7 @@
 }
 FROM_STORE = "store"
 FROM_PEER = "peer"
+MOST_LISTED = 20  # names in one log line, which stays bounded however many endpoints there are
 
 
 class FleetView:
@@ -62,6 +63,7 @@
             Topic.TABLES.value: self._tables,
         }
         self._on_config = on_config
+        self._kept: frozenset[str] = frozenset()
         self._on_endpoints = on_endpoints
         self._on_members = on_members
         self._on_table = on_table
@@ -101,8 +103,8 @@
         }
         return StateNews(topic, state.revision, False, plain)
 
-    def take_news(self, news: StateNews) -> None:
-        """Take in what a watcher passed on."""
+    def take_news(self, news: StateNews, peer: str) -> None:
+        """Take in what the watcher ``peer`` passed on."""
         if news.topic == Topic.CONFIGURATION.value:
             for plain in news.plain_by_name.values():
                 self._put_in_force(config_from_plain(plain), FROM_PEER)
@@ -121,7 +123,7 @@
         if news.revision < self._endpoints.revision:
             return
         self._merge_endpoints(items, is_whole=news.is_whole)
-        self._settle_endpoints(news.revision, FROM_PEER)
+        self._settle_endpoints(news.revision, FROM_PEER, peer)
 
     def take_changes(self, topic: Topic, changes: FleetChanges) -> None:
         """Take in what the store told."""
@@ -195,7 +197,8 @@
             else:
                 self.registry.put(item)
 
-    def _settle_endpoints(self, revision: int, source: str) -> None:
+    def _settle_endpoints(self, revision: int, source: str, peer: str = "") -> None:
+        self._log_kept(revision, source, peer)
         current = dict(self.registry.registration_by_endpoint)
         if not self._endpoints.replace(current, revision):
             return
@@ -204,10 +207,26 @@
             revision=revision,
             endpoints=len(current),
             draining=sum(item.is_draining for item in current.values()),
+            kept=len(self._kept),
             source=source,
+            peer=peer,
         )
         self._on_endpoints(current.values())
 
+    def _log_kept(self, revision: int, source: str, peer: str) -> None:
+        before, self._kept = self._kept, self.registry.kept_endpoints
+        if not self._kept - before:
+            return
+        log(
+            LogEvent.ENDPOINTS_KEPT,
+            revision=revision,
+            endpoints=sorted(self._kept - before)[:MOST_LISTED],
+            kept=len(self._kept),
+            store_away=self.registry.is_store_away,
+            source=source,
+            peer=peer,
+        )
+
 
 def _update(
     state: TopicState, items: dict[str, Item | None], revision: int, *, is_whole: bool
--- a/packages/cassiahaven-entry/cassiahaven_entry/metrics.py
+++ b/packages/cassiahaven-entry/cassiahaven_entry/metrics.py
@@ -3,7 +3,7 @@
 from collections.abc import Iterator
 
 from hdrh.histogram import HdrHistogram
-from prometheus_client import CollectorRegistry, Counter, generate_latest
+from prometheus_client import CollectorRegistry, Counter, Gauge, generate_latest
 from prometheus_client.core import Metric, SummaryMetricFamily
 
 LOWEST_US = 1
@@ -68,6 +68,11 @@
         )
         self.store_calls = self._counter("store_calls", "Calls to the object store", "kind")
         self.peer_bytes = self._counter("peer_bytes", "Bytes sent to peers", "message")
+        self.kept_endpoints = Gauge(
+            "cassiahaven_kept_endpoints",
+            "Endpoints in use though their registration is gone",
+            registry=self.registry,
+        )
 
     def text(self) -> bytes:
         """Return all metrics in the text format."""
--- a/packages/cassiahaven-entry/cassiahaven_entry/routed_node.py
+++ b/packages/cassiahaven-entry/cassiahaven_entry/routed_node.py
@@ -105,6 +105,7 @@
             on_members=self._on_members,
             on_table=self._take_table,
         )
+        self.metrics.kept_endpoints.set_function(lambda: len(self.view.registry.kept_endpoints))
         state = FleetState(
             report=self._report,
             versions=self.view.versions,
--- a/packages/cassiahaven-entry/tests/test_fleet_links.py
+++ b/packages/cassiahaven-entry/tests/test_fleet_links.py
@@ -54,7 +54,7 @@
         report=lambda: None,
         versions=lambda: {"configuration": state.version},
         news=state.news,
-        on_news=lambda news: None,
+        on_news=lambda news, peer: None,
         on_crash=lambda notice: None,
     )
 
