--- a/packages/cassiahaven-standins/cassiahaven_standins/link_proxy.py
+++ b/packages/cassiahaven-standins/cassiahaven_standins/link_proxy.py
@@ -38,6 +38,8 @@
         for item in opened:
             try:
                 item.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+                # A thread that waits for data holds the connection open until it wakes.
+                item.shutdown(socket.SHUT_RD)
                 item.close()
             except OSError:
                 continue
