Keep connections through the loopback proxy open while they are idle

The proxy's time limit for connecting also held for reading, so a connection that was idle for 5 s went silent for good and a watch through it heard nothing until its end. The soak had run with such connections, which hid what a watch that lives would have told.

--- a/packages/cassiahaven-standins/cassiahaven_standins/link_proxy.py
+++ b/packages/cassiahaven-standins/cassiahaven_standins/link_proxy.py
@@ -5,7 +5,7 @@
 import threading
 
 PART_BYTES = 65_536
-POLL_S = 0.02
+CONNECT_TIMEOUT_S = 5.0  # loopback answers at once unless the machine is very busy
 
 
 class LinkProxy:
@@ -60,7 +60,8 @@
         while True:
             try:
                 near, _ = self._listener.accept()
-                far = socket.create_connection(self._target, timeout=5)
+                far = socket.create_connection(self._target, timeout=CONNECT_TIMEOUT_S)
+                far.settimeout(None)
             except OSError:
                 if self._listener.fileno() < 0:
                     return
