Pass the store's list of endpoints on as it is, whatever stays in use here

Cause: a watcher that believed the store to be away kept a removed endpoint in use, which is meant, but kept it in the list that it passes on too, under the store's new revision. Its followers then had that revision, so they never asked for the removal again.

The list of a topic is now always the store's at its revision, and the endpoints in use are derived from it at each entry.

--- a/packages/cassiahaven-core/cassiahaven_core/registry.py
+++ b/packages/cassiahaven-core/cassiahaven_core/registry.py
@@ -1,6 +1,5 @@
 """The endpoints that registered themselves, and what an outage of their store means for them."""
 
-from collections.abc import Iterable
 from dataclasses import dataclass
 
 # Live endpoints register again within 2 s of the store's return; 2.3 s leaves room for the way.
@@ -33,7 +32,7 @@
 
 
 class EndpointRegistry:
-    """Hold the registrations in force.
+    """Hold the registrations in use, which may be more than the store lists.
 
     Endpoints whose entries lapsed while the store was away are kept until they had time to register
     again: most of them live, and dropping all at once would leave nothing to serve with.
@@ -63,30 +62,13 @@
             self._returned_ms = now_ms
         self._is_away = not is_available
 
-    def replace(self, registrations: Iterable[Registration], now_ms: float) -> None:
-        """Take in the whole list of the store."""
-        listed = {item.endpoint: item for item in registrations}
-        missing = self.registration_by_endpoint.keys() - listed.keys()
-        kept = {name: self.registration_by_endpoint[name] for name in missing}
-        self.registration_by_endpoint = listed
-        self._lapsed.clear()
-        if self._is_recovering(now_ms):
-            self._lapsed = set(kept)
-            self.registration_by_endpoint |= kept
-
-    def put(self, registration: Registration) -> None:
-        """Take in one registration."""
-        self.registration_by_endpoint[registration.endpoint] = registration
-        self._lapsed.discard(registration.endpoint)
-
-    def remove(self, endpoint: str, now_ms: float) -> None:
-        """Take in that an endpoint's registration is gone."""
-        if endpoint not in self.registration_by_endpoint:
-            return
-        if self._is_recovering(now_ms):
-            self._lapsed.add(endpoint)
-        else:
-            del self.registration_by_endpoint[endpoint]
+    def replace(self, registration_by_endpoint: dict[str, Registration], now_ms: float) -> None:
+        """Take in the store's list."""
+        in_use = self.registration_by_endpoint
+        missing = in_use.keys() - registration_by_endpoint.keys()
+        self._lapsed = missing if self._is_recovering(now_ms) else set()
+        kept = {name: in_use[name] for name in self._lapsed}
+        self.registration_by_endpoint = registration_by_endpoint | kept
 
     def expire(self, now_ms: float) -> bool:
         """Drop the endpoints that did not register again in time; tell whether there were any."""
--- a/packages/cassiahaven-entry/cassiahaven_entry/fleet_links.py
+++ b/packages/cassiahaven-entry/cassiahaven_entry/fleet_links.py
@@ -266,8 +266,6 @@
 
     def publish(self, message: PeerMessage) -> None:
         """Send ``message`` to the subscribers and the watchers that this entry follows."""
-        # Endpoints that did not come back after an outage leave without a new revision.
-        self._encoded_news.clear()
         self._server.publish(message)
         for link in self.link_by_name.values():
             link.send(message)
--- a/packages/cassiahaven-entry/cassiahaven_entry/fleet_view.py
+++ b/packages/cassiahaven-entry/cassiahaven_entry/fleet_view.py
@@ -26,6 +26,7 @@
 }
 FROM_STORE = "store"
 FROM_PEER = "peer"
+AFTER_OUTAGE = "outage"
 MOST_LISTED = 20  # names in one log line, which stays bounded however many endpoints there are
 
 
@@ -71,7 +72,7 @@
     @property
     def has_endpoints(self) -> bool:
         """Tell whether any endpoint is known."""
-        return bool(self._endpoints.item_by_name)
+        return bool(self.registry.registration_by_endpoint)
 
     @property
     def has_members(self) -> bool:
@@ -120,10 +121,7 @@
         if news.topic == Topic.TABLES.value:
             self._take_tables(items, news.revision, FROM_PEER, is_whole=news.is_whole)
             return
-        if news.revision < self._endpoints.revision:
-            return
-        self._merge_endpoints(items, is_whole=news.is_whole)
-        self._settle_endpoints(news.revision, FROM_PEER, peer)
+        self._take_endpoints(items, news.revision, FROM_PEER, peer, is_whole=news.is_whole)
 
     def take_changes(self, topic: Topic, changes: FleetChanges) -> None:
         """Take in what the store told."""
@@ -139,17 +137,12 @@
         if topic is Topic.TABLES:
             self._take_tables(items, changes.revision, FROM_STORE, is_whole=changes.is_whole)
             return
-        if changes.revision < self._endpoints.revision:
-            return
-        self._merge_endpoints(items, is_whole=changes.is_whole)
-        self._settle_endpoints(changes.revision, FROM_STORE)
+        self._take_endpoints(items, changes.revision, FROM_STORE, is_whole=changes.is_whole)
 
-    def expire(self) -> StateNews | None:
-        """Drop endpoints that did not come back after an outage; return the news of it."""
-        if not self.registry.expire(now_ms()):
-            return None
-        self._settle_endpoints(self._endpoints.revision, "outage")
-        return self._whole(Topic.ENDPOINTS.value, self._endpoints)
+    def expire(self) -> None:
+        """Drop endpoints that did not come back after an outage."""
+        if self.registry.expire(now_ms()):
+            self._use_endpoints(AFTER_OUTAGE)
 
     def note_store(self, is_available: bool) -> None:
         """Take in that the store went away or came back."""
@@ -186,22 +179,26 @@
             if table is not None:
                 self._on_table(table, source)
 
-    def _merge_endpoints(self, items: dict[str, Registration | None], *, is_whole: bool) -> None:
-        known = {name: item for name, item in items.items() if item is not None}
-        if is_whole:
-            self.registry.replace(known.values(), now_ms())
-            return
-        for name, item in items.items():
-            if item is None:
-                self.registry.remove(name, now_ms())
-            else:
-                self.registry.put(item)
-
-    def _settle_endpoints(self, revision: int, source: str, peer: str = "") -> None:
+    def _take_endpoints(
+        self,
+        items: dict[str, Registration | None],
+        revision: int,
+        source: str,
+        peer: str = "",
+        *,
+        is_whole: bool,
+    ) -> None:
+        # What is passed on is the store's list. Which endpoints stay in use is this entry's affair.
+        merged = items if is_whole else self._endpoints.item_by_name | items
+        listed = {name: item for name, item in merged.items() if item is not None}
+        if self._endpoints.replace(listed, revision):
+            self.registry.replace(listed, now_ms())
+            self._use_endpoints(source, peer)
+
+    def _use_endpoints(self, source: str, peer: str = "") -> None:
+        current = self.registry.registration_by_endpoint
+        revision = self._endpoints.revision
         self._log_kept(revision, source, peer)
-        current = dict(self.registry.registration_by_endpoint)
-        if not self._endpoints.replace(current, revision):
-            return
         log(
             LogEvent.ENDPOINTS_CHANGED,
             revision=revision,
--- a/packages/cassiahaven-entry/cassiahaven_entry/routed_node.py
+++ b/packages/cassiahaven-entry/cassiahaven_entry/routed_node.py
@@ -380,9 +380,7 @@
 
     def _keep_house(self) -> None:
         while True:
-            news = self.view.expire()
-            if news is not None:
-                self.links.publish(news)
+            self.view.expire()
             self._note_beliefs()
             self._share_limits()
             eventlet.sleep(HOUSEKEEPING_INTERVAL_MS / MS_PER_S)
--- a/packages/cassiahaven-entry/tests/test_fleet_view.py
+++ b/packages/cassiahaven-entry/tests/test_fleet_view.py
@@ -1,6 +1,8 @@
 """What an entry makes of the fleet's state, and what it passes on."""
 
 import pytest
+from hypothesis import HealthCheck, given, settings
+from hypothesis import strategies as st
 
 from cassiahaven_core.edge import FleetChange, FleetChanges, Topic
 from cassiahaven_core.membership import Fleet, Member
@@ -45,3 +47,47 @@
     assert set(watcher.registry.registration_by_endpoint) == {"e1", "e2"}
     follower.take_news(watcher.news(StateRequest(ENDPOINTS, 1)), "a1")
     assert set(follower.registry.registration_by_endpoint) == {"e2"}
+
+
+NAMES = ("e1", "e2", "e3")
+STEPS = st.lists(
+    st.one_of(
+        st.tuples(st.just("list"), st.sets(st.sampled_from(NAMES))),
+        st.tuples(st.just("store"), st.booleans()),
+        st.tuples(st.just("wait"), st.sampled_from([100, 1000, 3000])),
+        st.tuples(st.just("ask"), st.sampled_from([("a1", "a2"), ("a2", "a3"), ("a3", "a1")])),
+    ),
+    max_size=30,
+)
+
+
+@settings(suppress_health_check=[HealthCheck.function_scoped_fixture], deadline=None)
+@given(STEPS)
+def test_lists_of_the_same_revision_are_the_same_at_every_entry(make_view, clock, steps):
+    view_by_name = {name: make_view(name) for name in ("a1", "a2", "a3")}
+    listed_by_revision = {1: {"e1", "e2"}}
+    for what, value in steps:
+        if what == "list":
+            revision = max(listed_by_revision) + 1
+            before = listed_by_revision[revision - 1]
+            changes = [
+                FleetChange(name, registration(name) if name in value else None)
+                for name in value ^ before
+            ]
+            listed_by_revision[revision] = value
+            view_by_name["a1"].take_changes(Topic.ENDPOINTS, FleetChanges(revision, changes, False))
+        elif what == "store":
+            view_by_name["a1"].note_store(value)
+        elif what == "wait":
+            clock.advance_ms(value)
+            for view in view_by_name.values():
+                view.expire()
+        else:
+            asked, asking = value
+            own = view_by_name[asking].versions()[ENDPOINTS]
+            news = view_by_name[asked].news(StateRequest(ENDPOINTS, own))
+            view_by_name[asking].take_news(news, asked)
+        for view in view_by_name.values():
+            told = view.news(StateRequest(ENDPOINTS, 0))
+            assert told.is_whole
+            assert told.plain_by_name.keys() == listed_by_revision[told.revision]
