--- a/packages/cassiahaven-entry/cassiahaven_entry/store_feed.py
+++ b/packages/cassiahaven-entry/cassiahaven_entry/store_feed.py
@@ -100,8 +100,9 @@
             # After a failed check the next one waits for as long as after an answer.
             due_ms = max(self.seen_ms, checked_ms) + LARGEST_ANSWER_AGE_MS
             eventlet.sleep(max(IDLE_INTERVAL_MS, due_ms - now_ms()) / MS_PER_S)
-            is_wanted = any(self._is_wanted(topic) for topic in Topic)
-            if not is_wanted or self.age_ms < LARGEST_ANSWER_AGE_MS - ROUNDING_MS:
+            # Whoever no longer needs the store still finds out that it is back.
+            is_due = not self.is_available or any(self._is_wanted(topic) for topic in Topic)
+            if not is_due or self.age_ms < LARGEST_ANSWER_AGE_MS - ROUNDING_MS:
                 continue
             checked_ms = now_ms()
             self._contact.ask(checked_ms)
--- a/packages/cassiahaven-entry/tests/test_store_feed.py
+++ b/packages/cassiahaven-entry/tests/test_store_feed.py
@@ -1,5 +1,7 @@
 """What the store feed does about watches that wait on dead connections."""
 
+from itertools import count
+
 import eventlet
 import pytest
 
@@ -99,3 +101,25 @@
     with pytest.raises(EnoughChecks):
         store.feed.check()
     assert max(store.ages_ms) + SLOW_ANSWER_MS + REPORT_INTERVAL_MS <= STORE_VIEW_MS
+
+
+def test_an_entry_that_no_longer_follows_the_store_finds_out_that_it_is_back(clock):
+    store = CheckedStore()
+    questions = count()
+
+    def is_wanted(topic):
+        if next(questions) == 100:
+            raise EnoughChecks
+        return False
+
+    store.feed = StoreFeed(
+        store,
+        is_wanted=is_wanted,
+        on_changes=lambda topic, changes: None,
+        contact=StoreContact(),
+    )
+    store.feed.note(False, "reset")
+    with pytest.raises(EnoughChecks):
+        store.feed.check()
+    assert store.feed.is_available
+    assert len(store.ages_ms) == 1
