Bound each exchange with an upstream as a whole, in time and in what is read

Cause: the library's timeouts hold for each receive, so a byte now and then, or a flood, meets none of them; a receive that finds data does not let other tasks run; bodies of probes and refusals were read to their end.

Of a probe or refusal only the head counts: a short body is read within 20 ms, otherwise the connection is given up.

--- a/packages/cassiahaven-entry/cassiahaven_entry/http_transport.py
+++ b/packages/cassiahaven-entry/cassiahaven_entry/http_transport.py
@@ -29,6 +29,9 @@
 SETTLE_S = 0.1  # a dying process has closed everything by then, on a busy machine too
 UNACKNOWLEDGED_MS = 600  # a connection that went silent is given up while a retry still helps
 PART_BYTES = 65_536
+BODY_GRACE_MS = 250.0  # an answer that is ready in time may still be on its way
+LARGEST_DISCARDED_BYTES = 4096  # beyond that a new connection costs less than reading on
+DISCARD_MS = 20.0  # what belongs to a short answer comes with its head
 LARGEST_POOL = 32
 MS_PER_S = 1000.0
 BODILESS_STATUSES = frozenset({204, 304})
@@ -69,9 +72,12 @@
     ConnectionCls = PeekingConnection
 
     def _make_request(
-        self, conn, method, url, *, headers, **options
+        self, conn, method, url, *, headers, timeout, **options
     ):  # noqa: ANN001, ANN003, ANN202
-        return super()._make_request(conn, method, headers.target, headers=headers, **options)
+        conn.expire_in(timeout.total * MS_PER_S)
+        return super()._make_request(
+            conn, method, headers.target, headers=headers, timeout=timeout, **options
+        )
 
 
 class HttpTransport(UpstreamTransport):
@@ -127,11 +133,13 @@
                 headers=_headers(request),
                 retries=False,
                 redirect=False,
-                timeout=timeout_ms / MS_PER_S,
+                timeout=urllib3.Timeout(total=timeout_ms / MS_PER_S),
+                preload_content=False,
                 decode_content=False,
             )
         except (HTTPError, OSError) as error:
             return ProbeFailed(f"{type(error).__name__}: {error}")
+        _discard(response)
         value_by_name = {name.lower(): value for name, value in response.headers.items()}
         return self._dialect.read_health(response.status, value_by_name, address.endpoint)
 
@@ -162,8 +170,7 @@
             response.close()
             return SendFailed(CallResult.CONNECTION_LOST, "answer belongs to another call")
         if signal.not_run:
-            response.drain_conn()
-            response.release_conn()
+            _discard(response)
             result = CallResult.REPLACED if signal.other_incarnation else CallResult.REFUSED
             return SendFailed(result, f"status {response.status}", signal)
         if not self._dialect.accepts_unframed and not _has_known_end(
@@ -177,6 +184,8 @@
             for name, value in response.headers.items()
             if name.lower() not in HOP_BY_HOP
         )
+        if response.connection is not None:
+            response.connection.extend(BODY_GRACE_MS)
         return UpstreamAnswer(response.status, headers, _parts(response), response.close, signal)
 
     def _pool(self, address: EndpointAddress) -> urllib3.HTTPConnectionPool:
@@ -209,6 +218,19 @@
     return headers
 
 
+def _discard(response: urllib3.BaseHTTPResponse) -> None:
+    """Read a short body to its end, so that its connection can be used again, or give it up."""
+    length = response.headers.get("Content-Length", "")
+    if length.isdigit() and int(length) <= LARGEST_DISCARDED_BYTES:
+        if response.connection is not None:
+            response.connection.expire_in(DISCARD_MS)
+        response.drain_conn()
+    if response.closed:
+        response.release_conn()
+    else:
+        response.close()
+
+
 def _has_known_end(
     request: UpstreamRequest, response: urllib3.BaseHTTPResponse, names: Container[str]
 ) -> bool:
--- a/packages/cassiahaven-entry/tests/test_http_transport.py
+++ b/packages/cassiahaven-entry/tests/test_http_transport.py
@@ -10,7 +10,7 @@
 
 from cassiahaven_core.edge import SendFailed, TransferBroken, UpstreamRequest
 from cassiahaven_core.pool import CallResult, EndpointAddress
-from cassiahaven_entry._connection import ResetTellingSocket
+from cassiahaven_entry._connection import UpstreamSocket
 from cassiahaven_entry.header_dialect import HeaderDialect
 from cassiahaven_entry.http_transport import HttpTransport
 
@@ -133,7 +133,7 @@
     listener = socket.create_server(("127.0.0.1", 0))
     plain = socket.create_connection(listener.getsockname())
     connection, _ = listener.accept()
-    telling = ResetTellingSocket(plain)
+    telling = UpstreamSocket(plain)
     connection.sendall(b"part of it")
     received = telling.recv(100)
     if resets:
--- a/packages/cassiahaven-standins/cassiahaven_standins/platform_endpoint.py
+++ b/packages/cassiahaven-standins/cassiahaven_standins/platform_endpoint.py
@@ -2,9 +2,27 @@
 
 import threading
 import time
+from dataclasses import dataclass
 from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
 from typing import Any
 
+LONGEST_FLOOD_S = 10.0
+
+
+@dataclass(frozen=True, slots=True)
+class Flood:
+    """Describe bytes that do not end before their reader closes.
+
+    Attributes:
+        first: What comes once.
+        repeated: What comes again and again.
+        gap_s: Pause between the repetitions.
+    """
+
+    first: bytes
+    repeated: bytes
+    gap_s: float = 0.0
+
 
 class EndpointState:
     """Hold what an endpoint ran and how it is to misbehave.
@@ -13,6 +31,9 @@
         work_s: How long it works on a request.
         fault: ``reset`` runs requests and closes without an answer, ``shed`` refuses them,
             ``error`` answers 500, empty is sound.
+        flood: What it sends in place of answers.
+        health_flood: What it sends in place of answers of the health path.
+        floods_s: How long each flood lasted until its reader closed.
         arrivals: Request ids that reached it, refused ones included.
         ran: Request ids that it began to work on, with the time.
         cut: Request ids whose caller left while it worked.
@@ -23,6 +44,9 @@
         self.service = service
         self.work_s = 0.01
         self.fault = ""
+        self.flood: Flood | None = None
+        self.health_flood: Flood | None = None
+        self.floods_s: list[float] = []
         self.arrivals: list[str] = []
         self.ran: list[tuple[str, float, str]] = []
         self.cut: list[str] = []
@@ -36,6 +60,10 @@
     def handle_request(self) -> None:
         state = self.state
         body = self.rfile.read(int(self.headers.get("Content-Length") or 0))
+        flood = state.health_flood if self.path == "/health" else state.flood
+        if flood is not None:
+            self._send_flood(flood)
+            return
         if self.path == "/health":
             self._send(200, b"", {"Instance-Id": state.endpoint, "Server-Load": self._load()})
             return
@@ -79,6 +107,18 @@
                 break
         self.connection.setblocking(True)
 
+    def _send_flood(self, flood: Flood) -> None:
+        started_s = time.monotonic()
+        self.close_connection = True
+        try:
+            self.connection.sendall(flood.first)
+            while time.monotonic() - started_s < LONGEST_FLOOD_S:
+                self.connection.sendall(flood.repeated)
+                threading.Event().wait(flood.gap_s)
+        except OSError:
+            pass
+        self.state.floods_s.append(time.monotonic() - started_s)
+
     def _load(self) -> str:
         return f"{self.state.running},0,8,100"
 
