--- a/packages/cassiahaven-entry/cassiahaven_entry/routed_node.py
+++ b/packages/cassiahaven-entry/cassiahaven_entry/routed_node.py
@@ -313,10 +313,8 @@
     def _set_endpoints(self, service: str, task: ServiceTask) -> None:
         self._outdated_services.discard(service)
         registrations = self._registrations_by_service.get(service, [])
-        task.set_endpoints([self._address(item) for item in registrations])
-        for item in registrations:
-            if item.is_draining:
-                task.drain(item.endpoint, item.incarnation, "registration")
+        draining = [item.endpoint for item in registrations if item.is_draining]
+        task.set_endpoints([self._address(item) for item in registrations], draining=draining)
 
     def _address(self, item: Registration) -> EndpointAddress:
         distance_ms = 0.0
--- a/packages/cassiahaven-entry/cassiahaven_entry/service_task.py
+++ b/packages/cassiahaven-entry/cassiahaven_entry/service_task.py
@@ -1,5 +1,7 @@
 """The owner of one service's policy at this entry."""
 
+from collections.abc import Collection
+
 from eventlet.event import Event
 
 from cassiahaven_core.admission import Admission, Waiting
@@ -76,9 +78,18 @@
         reason, effects = retry
         return reason, self._wait(call, effects)
 
-    def set_endpoints(self, addresses: list[EndpointAddress]) -> None:
-        """Take in the endpoints that the VM list names."""
+    def set_endpoints(
+        self, addresses: list[EndpointAddress], *, draining: Collection[str] = ()
+    ) -> None:
+        """Take in the listed endpoints.
+
+        Args:
+            addresses: All of them.
+            draining: Names of those that are leaving.
+        """
         self.policy.pool.set_endpoints(addresses, now_ms())
+        for name in draining:
+            self.handle(name, EndpointEvent.DRAIN, "registration")
         self._apply_operator_drains()
         self.tick()
 
