--- a/packages/cassiahaven-entry/cassiahaven_entry/fleet_view.py
+++ b/packages/cassiahaven-entry/cassiahaven_entry/fleet_view.py
@@ -64,10 +64,10 @@
             Topic.TABLES.value: self._tables,
         }
         self._on_config = on_config
-        self._kept: frozenset[str] = frozenset()
         self._on_endpoints = on_endpoints
         self._on_members = on_members
         self._on_table = on_table
+        self._kept: frozenset[str] = frozenset()
 
     @property
     def has_endpoints(self) -> bool:
@@ -184,7 +184,7 @@
         *,
         is_whole: bool,
     ) -> None:
-        # What is passed on is the store's list. Which endpoints stay in use is this entry's affair.
+        # Followers get the store's list; which endpoints stay in use is decided at each entry.
         merged = items if is_whole else self._endpoints.item_by_name | items
         listed = {name: item for name, item in merged.items() if item is not None}
         if self._endpoints.replace(listed, revision):
