Wait in the test of the status until the entries have heard of each other

Trace: the logs of all three entries say readiness_changed and live 1 when the status was asked, so each listed itself alone. An entry is ready as soon as it has a configuration and endpoints; it hears of the others with the first report, within about 0.5 s. The test asked at once. It waits for that now and asserts the same.

--- a/tests/test_platform_operators.py
+++ b/tests/test_platform_operators.py
@@ -98,8 +98,14 @@
 
 
 def test_status_names_entries_carriers_and_endpoints(fleet, run_command):
-    plain = json.loads(run_command(fleet, "status", "--json").stdout)
-    assert {entry["name"] for entry in plain["entries"]} == {item.name for item in fleet.entries}
+    def status():
+        return json.loads(run_command(fleet, "status", "--json").stdout)
+
+    names = {item.name for item in fleet.entries}
+    # An entry is ready before it has heard of all others.
+    wait_until(lambda: {entry["name"] for entry in status()["entries"]} == names, "all entries")
+    plain = status()
+    assert {entry["name"] for entry in plain["entries"]} == names
     assert plain["store_available"]
     service = plain["services"]["one"]
     assert set(service["endpoints"]) == {"i-1", "i-2"}
