--- a/packages/cassiahaven-cli/cassiahaven_cli/report.py
+++ b/packages/cassiahaven-cli/cassiahaven_cli/report.py
@@ -57,6 +57,8 @@
         f"as seen by {plain['entry']}; object store {store}",
         columns(["entry", "availability zone", "address", "status"], entries),
     ]
+    if "configuration" in plain:
+        parts.append(_configuration_report(plain["configuration"]))
     for service, item in plain["services"].items():
         parts.append(_service_report(service, item))
     return "\n\n".join(parts)
@@ -72,6 +74,12 @@
     return f"{head}\n{columns(['ms', 'what', 'detail'], steps)}"
 
 
+def _configuration_report(plain: dict[str, Any]) -> str:
+    rejected = [[item["table"], item["row"], item["finding"]] for item in plain["rejected"]]
+    head = f"configuration {plain['version']}: {len(rejected)} rows rejected"
+    return f"{head}\n{columns(['table', 'row', 'why'], rejected)}" if rejected else head
+
+
 def _service_report(service: str, item: dict[str, Any]) -> str:
     revisions = " ".join(
         f"{entry}={revision}" for entry, revision in sorted(item["revision_by_entry"].items())
--- a/packages/cassiahaven-core/cassiahaven_core/fleet_state.py
+++ b/packages/cassiahaven-core/cassiahaven_core/fleet_state.py
@@ -7,7 +7,15 @@
 
 from cassiahaven_core.membership import Member
 from cassiahaven_core.registry import Registration
-from cassiahaven_core.route import CallerLimits, GatewayConfig, Route, ServiceShare, ServiceSpec
+from cassiahaven_core.route import (
+    CallerLimits,
+    ConfigTable,
+    GatewayConfig,
+    RejectedRow,
+    Route,
+    ServiceShare,
+    ServiceSpec,
+)
 from cassiahaven_core.table import ServiceTable
 from cassiahaven_core.table_codec import table_from_plain, table_to_plain
 
@@ -94,12 +102,21 @@
 
 def config_to_plain(config: GatewayConfig) -> list[Any]:
     """Return a configuration as nested lists."""
-    return [
+    plain = [
         config.version,
         [list(astuple(route)) for route in config.routes],
         [list(astuple(spec)) for spec in config.service_by_name.values()],
         list(astuple(config.limits)),
     ]
+    if config.rejected:
+        # Left out if empty: earlier builds read only the four lists above.
+        plain.append(
+            [
+                [row.table.value, row.name, row.finding, row.host, row.path_prefix]
+                for row in config.rejected
+            ]
+        )
+    return plain
 
 
 def config_from_plain(plain: list[Any]) -> GatewayConfig:
@@ -108,12 +125,14 @@
     Raises:
         TypeError, ValueError: The lists do not describe a configuration.
     """
-    version, routes, specs, limits = plain
+    version, routes, specs, limits, *rest = plain
+    rejected = rest[0] if rest else []
     return GatewayConfig(
         version,
         tuple(_route_from_plain(route) for route in routes),
         {spec[0]: ServiceSpec(*spec) for spec in specs},
         CallerLimits(*limits),
+        tuple(RejectedRow(ConfigTable(table), *fields) for table, *fields in rejected),
     )
 
 
--- a/packages/cassiahaven-core/cassiahaven_core/reason.py
+++ b/packages/cassiahaven-core/cassiahaven_core/reason.py
@@ -8,6 +8,7 @@
 
     UNKNOWN_SERVICE = "unknown-service"
     NO_ROUTE = "no-route"
+    REJECTED_ROUTE = "rejected-route"
     NOT_CONFIGURED = "not-configured"
     UNAUTHENTICATED = "unauthenticated"
     MALFORMED_REQUEST = "malformed-request"
--- a/packages/cassiahaven-core/cassiahaven_core/route.py
+++ b/packages/cassiahaven-core/cassiahaven_core/route.py
@@ -82,14 +82,50 @@
     is_idempotent: bool
 
 
+class ConfigTable(Enum):
+    """A table of a configuration."""
+
+    ROUTES = "routes"
+    SERVICES = "services"
+    LIMITS = "limits"
+
+
+@dataclass(frozen=True, slots=True)
+class RejectedRow:
+    """A row of a configuration that this build cannot use.
+
+    Attributes:
+        name: Name of the row, or its position if the name is unreadable.
+        finding: Why the row is rejected.
+        host: Host of a route, empty if it is unreadable.
+        path_prefix: Path prefix of a route, empty if it is unreadable.
+    """
+
+    table: ConfigTable
+    name: str
+    finding: str
+    host: str = ""
+    path_prefix: str = ""
+
+    @property
+    def is_placed(self) -> bool:
+        """Return whether the requests that the row is meant for are known."""
+        return bool(self.host and self.path_prefix)
+
+
 @dataclass(frozen=True, slots=True)
 class GatewayConfig:
-    """One version of the routes and services."""
+    """One version of the routes and services.
+
+    Attributes:
+        rejected: Rows that cannot be used; all others are in force.
+    """
 
     version: int
     routes: tuple[Route, ...]
     service_by_name: dict[str, ServiceSpec]
     limits: CallerLimits = CallerLimits()
+    rejected: tuple[RejectedRow, ...] = ()
 
     def rules(self, service: str) -> dict[str, RouteRule]:
         """Return the active rules for the calls to a service, keyed by route name."""
@@ -113,6 +149,7 @@
 
     NO_CONFIGURATION = "no-configuration"
     NO_ROUTE = "no-route"
+    REJECTED_ROUTE = "rejected-route"
 
 
 @dataclass(slots=True)
@@ -129,11 +166,12 @@
     An older version never replaces a newer one, whichever source it comes from.
     """
 
-    __slots__ = ("config", "_routes_by_host", "_split_by_route")
+    __slots__ = ("config", "_routes_by_host", "_may_be_rejected", "_split_by_route")
 
     def __init__(self) -> None:
         self.config: GatewayConfig | None = None
-        self._routes_by_host: dict[str, list[Route]] = {}
+        self._may_be_rejected = False
+        self._routes_by_host: dict[str, list[Route | RejectedRow]] = {}
         self._split_by_route: dict[str, _SplitState] = {}
 
     @property
@@ -146,7 +184,11 @@
         if config.version <= self.version:
             return False
         self.config = config
-        self._routes_by_host = _index(config.routes)
+        rejected = [row for row in config.rejected if row.table is ConfigTable.ROUTES]
+        self._routes_by_host = _index([*config.routes, *(r for r in rejected if r.is_placed)])
+        # The requests meant for these routes are unknown, so no request may be told that it has
+        # no route.
+        self._may_be_rejected = any(not row.is_placed for row in rejected)
         shares_by_route = {route.name: route.shares for route in config.routes}
         # Credits accumulated under the old weights would skew the new split.
         self._split_by_route = {
@@ -162,8 +204,8 @@
             return NoRouteReason.NO_CONFIGURATION
         for route in self._routes_by_host.get(host, ()):
             if path.startswith(route.path_prefix):
-                return route
-        return NoRouteReason.NO_ROUTE
+                return route if isinstance(route, Route) else NoRouteReason.REJECTED_ROUTE
+        return NoRouteReason.REJECTED_ROUTE if self._may_be_rejected else NoRouteReason.NO_ROUTE
 
     def choose_service(self, route: Route) -> str:
         """Return the service for the next call, in proportion to the route's weights.
@@ -185,8 +227,8 @@
         return chosen
 
 
-def _index(routes: Iterable[Route]) -> dict[str, list[Route]]:
-    routes_by_host: dict[str, list[Route]] = {}
+def _index(routes: Iterable[Route | RejectedRow]) -> dict[str, list[Route | RejectedRow]]:
+    routes_by_host: dict[str, list[Route | RejectedRow]] = {}
     for route in routes:
         routes_by_host.setdefault(route.host, []).append(route)
     for listed in routes_by_host.values():
--- a/packages/cassiahaven-entry/cassiahaven_entry/attempts.py
+++ b/packages/cassiahaven-entry/cassiahaven_entry/attempts.py
@@ -134,7 +134,8 @@
         tried: frozenset[str],
     ) -> EndpointAddress:
         """Probe the selected endpoint; while probes find it slow or failing, try another one."""
-        for _ in range(MOST_PROBES_PER_ATTEMPT):
+        # A service whose row of the configuration was rejected has no health path.
+        for _ in range(MOST_PROBES_PER_ATTEMPT if task.health_path else 0):
             if not task.policy.try_spend_probe(address.endpoint, now_ms()):
                 break
             self._metrics.probes.labels(call.service).inc()
--- a/packages/cassiahaven-entry/cassiahaven_entry/fleet_view.py
+++ b/packages/cassiahaven-entry/cassiahaven_entry/fleet_view.py
@@ -161,6 +161,17 @@
             routes=len(config.routes),
             source=source,
         )
+        for row in config.rejected[:MAX_LISTED_NAMES]:
+            log(
+                LogEvent.CONFIGURATION_ROW_REJECTED,
+                version=config.version,
+                table=row.table.value,
+                row=row.name,
+                host=row.host,
+                path_prefix=row.path_prefix,
+                finding=row.finding,
+                rejected=len(config.rejected),
+            )
         self._on_config(config)
 
     def _apply_members(
--- a/packages/cassiahaven-entry/cassiahaven_entry/metrics.py
+++ b/packages/cassiahaven-entry/cassiahaven_entry/metrics.py
@@ -68,15 +68,19 @@
         )
         self.store_calls = self._counter("store_calls", "Calls to the object store", "kind")
         self.peer_bytes = self._counter("peer_bytes", "Bytes sent to peers", "message")
-        self.kept_endpoints = Gauge(
-            "cassiahaven_kept_endpoints",
-            "Endpoints in use though their registration is gone",
-            registry=self.registry,
+        self.kept_endpoints = self._gauge(
+            "kept_endpoints", "Endpoints in use though their registration is gone"
+        )
+        self.rejected_rows = self._gauge(
+            "rejected_rows", "Rows of the configuration in force that cannot be used"
         )
 
     def text(self) -> bytes:
         """Return all metrics in the Prometheus text format."""
         return generate_latest(self.registry)
 
+    def _gauge(self, name: str, text: str) -> Gauge:
+        return Gauge(f"cassiahaven_{name}", text, registry=self.registry)
+
     def _counter(self, name: str, text: str, *labels: str) -> Counter:
         return Counter(f"cassiahaven_{name}", text, labels, registry=self.registry)
--- a/packages/cassiahaven-entry/cassiahaven_entry/routed_calls.py
+++ b/packages/cassiahaven-entry/cassiahaven_entry/routed_calls.py
@@ -22,8 +22,10 @@
 REFUSAL_BY_MISS = {
     NoRouteReason.NO_CONFIGURATION: RefusalReason.NOT_CONFIGURED,
     NoRouteReason.NO_ROUTE: RefusalReason.NO_ROUTE,
+    NoRouteReason.REJECTED_ROUTE: RefusalReason.REJECTED_ROUTE,
 }
 CONTENT_LENGTH = "content-length"
+CONFIGURATION_RETRY_MS = 500.0  # a configuration may arrive by then
 
 
 class RoutedCalls:
@@ -103,7 +105,10 @@
             reason=reason.value,
         )
         return self._dialect.local_response(
-            NO_SERVICE, NotRun(reason), request_id=request.request_id
+            NO_SERVICE,
+            NotRun(reason),
+            request_id=request.request_id,
+            retry_after_ms=CONFIGURATION_RETRY_MS,
         )
 
     def _respond(
--- a/packages/cassiahaven-entry/cassiahaven_entry/routed_node.py
+++ b/packages/cassiahaven-entry/cassiahaven_entry/routed_node.py
@@ -278,6 +278,7 @@
         return not self.fleet.has_fresh_store_view(now_ms())
 
     def _on_config(self, config: GatewayConfig) -> None:
+        self.metrics.rejected_rows.set(len(config.rejected))
         for spec in config.service_by_name.values():
             self._get_or_create_task(spec.name).health_path = spec.health_path
         self.links.publish_report()
--- a/packages/cassiahaven-entry/cassiahaven_entry/routed_operators.py
+++ b/packages/cassiahaven-entry/cassiahaven_entry/routed_operators.py
@@ -118,11 +118,23 @@
             "store_available": node.feed.is_available,
             "entries": sorted(entries, key=lambda item: item["name"]),
             "unreachable": sorted(node.fleet.member_by_name.keys() - live),
+            "configuration": self._configuration_status(),
             "services": {
                 name: self._service_status(name) for name in sorted(node.tables.table_by_service)
             },
         }
 
+    def _configuration_status(self) -> dict[str, Any]:
+        config = self._node.routing.config
+        rejected = config.rejected if config is not None else ()
+        return {
+            "version": self._node.routing.version,
+            "rejected": [
+                {"table": row.table.value, "row": row.name, "finding": row.finding}
+                for row in rejected
+            ],
+        }
+
     def _service_status(self, service: str) -> dict[str, Any]:
         task = self._node.task(service)
         return {
