Read callers' requests ahead, run them side by side and answer in order

Cause: eventlet's server reads the next request of a connection only after the answer to the one before, so each further request of a pipelining caller waited for all before it, its deadline ran from then, and a caller that left after its next request had arrived was not noticed (caller_watch gave up watching).

One task reads a connection, each request runs in its own; core Pipeline decides what may be read (16 requests, 256 KB of bodies), whose answer is due, and where a stop ends it. Non-idempotent calls wait until everything before them is answered. The reading task notices callers that leave. After the last answer the connection is read until the caller closes, as closing with unread bytes resets it.

Each test in test_caller_connection.py on pipelining fails on the code before.

--- a/packages/cassiahaven-core/cassiahaven_core/edge.py
+++ b/packages/cassiahaven-core/cassiahaven_core/edge.py
@@ -2,7 +2,7 @@
 
 from abc import ABC, abstractmethod
 from collections.abc import Callable, Iterator
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from enum import Enum
 from typing import TypeAlias
 
@@ -326,6 +326,8 @@
         timeout_ms: Time that the caller waits, ``None`` if not stated.
         host: Host that the caller addressed; together with the path it selects a route.
         request_id: The caller's own ID of the call, ``None`` without one.
+        arrived_ms: When the call was read.
+        await_turn: Blocks until all earlier calls of the caller's connection are answered.
     """
 
     service: str
@@ -338,6 +340,8 @@
     timeout_ms: float | None
     host: str = ""
     request_id: str | None = None
+    arrived_ms: float = field(kw_only=True)
+    await_turn: Callable[[], None] = lambda: None
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/cassiahaven-entry/cassiahaven_entry/call.py
+++ b/packages/cassiahaven-entry/cassiahaven_entry/call.py
@@ -37,7 +37,7 @@
     ) -> "Call":
         """Create a call to a service of the settings, with the service's timeout as default."""
         timeout_ms = request.timeout_ms if request.timeout_ms is not None else service.timeout_ms
-        arrived_ms = now_ms()
+        arrived_ms = request.arrived_ms
         is_idempotent = request.method in service.idempotent_methods
         waiting = WaitingCall(call_id, partner, is_idempotent, arrived_ms + timeout_ms, arrived_ms)
         return cls(request, service.name, waiting)
--- a/packages/cassiahaven-entry/cassiahaven_entry/calls.py
+++ b/packages/cassiahaven-entry/cassiahaven_entry/calls.py
@@ -64,6 +64,9 @@
         if len(request.body) > service.largest_body_bytes:
             return self.refuse(request.service, NotRun(RefusalReason.BODY_TOO_LARGE))
         call = Call.to_service(request, service, partner, self._new_call_id())
+        if not call.waiting.idempotent:
+            # An answer before this one may close the connection; callers then repeat this call.
+            request.await_turn()
         try:
             finished = self._claim_and_run(call)
         except Exception as error:
--- a/packages/cassiahaven-entry/cassiahaven_entry/gateway.py
+++ b/packages/cassiahaven-entry/cassiahaven_entry/gateway.py
@@ -9,6 +9,7 @@
 from cassiahaven_core.edge import CallerFrontend, CallRequest, CallResponse
 from cassiahaven_core.outcome import NotRun
 from cassiahaven_core.reason import RefusalReason
+from cassiahaven_entry.caller_connection import EXCHANGE, CallerProtocol, Exchange
 from cassiahaven_entry.caller_dialect import (
     TARGET,
     CallerDialect,
@@ -16,7 +17,6 @@
     Environ,
     RequestRejected,
 )
-from cassiahaven_entry.caller_watch import CallerLeft, has_left, watching
 from cassiahaven_entry.clock import MS_PER_S
 from cassiahaven_entry.event import LogEvent, log
 from cassiahaven_entry.http_transport import HOP_BY_HOP
@@ -26,24 +26,6 @@
 LONGEST_URL_BYTES = 8192
 BODY_PART_BYTES = 65_536
 BACKLOG = 1024
-CONNECTION = "cassiahaven.connection"
-CALLER_LEFT_STATUS = 499  # only a placeholder: the connection is closed
-CLOSE_HEADER = ("Connection", "close")
-
-
-class _CallerProtocol(wsgi.HttpProtocol):
-    """Add the connection and the raw request target to the WSGI environment."""
-
-    def _read_request_line(self) -> bytes | str:
-        # ``server.app`` is a bound method of the frontend, so ``__self__`` is the frontend.
-        self.connection.settimeout(self.server.app.__self__.idle_timeout_s)
-        return super()._read_request_line()
-
-    def get_environ(self) -> Environ:
-        environ = super().get_environ()
-        environ[CONNECTION] = self.connection
-        environ[TARGET] = self.raw_requestline.split(b" ", 2)[1].decode("latin-1")
-        return environ
 
 
 class HttpFrontend(CallerFrontend):
@@ -56,7 +38,7 @@
 
     Attributes:
         in_flight: Number of requests being answered.
-        is_closing: Whether answers ask callers to close their connections.
+        is_closing: Whether the answer to the last request read closes its connection.
     """
 
     def __init__(self, host: str, port: int, *, dialect: CallerDialect) -> None:
@@ -84,7 +66,7 @@
             debug=False,
             socket_timeout=SOCKET_TIMEOUT_S,
             url_length_limit=LONGEST_URL_BYTES,
-            protocol=_CallerProtocol,
+            protocol=CallerProtocol,
             capitalize_response_headers=False,
         )
 
@@ -96,16 +78,11 @@
         self.in_flight += 1
         try:
             response = self._respond(environ)
-        except CallerLeft:
-            response = CallResponse(CALLER_LEFT_STATUS, (CLOSE_HEADER,), iter(()))
         except BaseException:
             self.in_flight -= 1
             raise
-        headers = list(response.headers)
-        if self.is_closing:
-            headers.append(CLOSE_HEADER)
-        start_response(_status_line(response.status), headers)
-        return _ResponseBody(response, self)
+        start_response(_status_line(response.status), list(response.headers))
+        return _ResponseBody(response, self, environ[EXCHANGE])
 
     def _respond(self, environ: Environ) -> CallResponse:
         direct = self._dialect.respond_locally(environ)
@@ -125,15 +102,11 @@
             request_id = head.request_id if head is not None else error.request_id
             outcome = NotRun(error.reason)
             return self._dialect.local_response(error.service, outcome, request_id=request_id)
-        connection = environ.get(CONNECTION)
-        if connection is not None and has_left(connection):
-            # On a busy entry a caller may time out and disconnect before its request is read.
-            log(LogEvent.CALLER_LEFT_EARLY, request=head.request_id, target=environ[TARGET][:200])
-            raise CallerLeft
-        with watching(connection):
-            return self._handler(request)
+        environ[EXCHANGE].record_body(len(request.body))
+        return self._handler(request)
 
     def _read(self, environ: Environ, head: CallHead) -> CallRequest:
+        exchange: Exchange = environ[EXCHANGE]
         return CallRequest(
             service=head.service,
             method=environ["REQUEST_METHOD"],
@@ -145,6 +118,8 @@
             timeout_ms=head.timeout_ms,
             host=head.host,
             request_id=head.request_id,
+            arrived_ms=exchange.arrived_ms,
+            await_turn=exchange.await_turn,
         )
 
     def _headers(self, environ: Environ) -> Iterator[tuple[str, str]]:
@@ -187,19 +162,29 @@
 
 
 class _ResponseBody:
-    """Iterate over a response's body; closing it takes the request out of ``in_flight``."""
+    """Iterate over a response's body; closing it takes the request out of ``in_flight``.
+
+    The head is sent with the first part, so that part waits until the answer is the next one due.
+    """
 
-    __slots__ = ("_body", "_frontend", "_is_closed")
+    __slots__ = ("_body", "_frontend", "_exchange", "_is_due", "_is_closed")
 
-    def __init__(self, response: CallResponse, frontend: HttpFrontend) -> None:
+    def __init__(self, response: CallResponse, frontend: HttpFrontend, exchange: Exchange) -> None:
         self._body = response.body
         self._frontend = frontend
+        self._exchange = exchange
+        self._is_due = False
         self._is_closed = False
 
     def __iter__(self) -> Iterator[bytes]:
         return self
 
     def __next__(self) -> bytes:
+        if not self._is_due:
+            self._exchange.await_turn()
+            self._is_due = True
+            if self._frontend.is_closing:
+                self._exchange.end_connection()
         return next(self._body)
 
     def close(self) -> None:
--- a/packages/cassiahaven-entry/cassiahaven_entry/routed_calls.py
+++ b/packages/cassiahaven-entry/cassiahaven_entry/routed_calls.py
@@ -11,8 +11,8 @@
 from cassiahaven_core.route import NoRouteReason, Route, RoutingTable
 from cassiahaven_entry.attempts import AttemptRunner
 from cassiahaven_entry.call import Call, Finished
+from cassiahaven_entry.caller_connection import CallerLeft
 from cassiahaven_entry.caller_dialect import CallerDialect
-from cassiahaven_entry.caller_watch import CallerLeft
 from cassiahaven_entry.clock import now_ms
 from cassiahaven_entry.event import LogEvent, log
 from cassiahaven_entry.metrics import Metrics
@@ -64,6 +64,9 @@
         route = self._routing.match(request.host, path)
         if isinstance(route, NoRouteReason):
             return self._refuse_unrouted(request, route)
+        if not route.is_idempotent:
+            # An answer before this one may close the connection; callers then repeat this call.
+            request.await_turn()
         service = self._routing.choose_service(route)
         call = Call(request, service, self._waiting(request, route))
         task = self._task_for(service)
@@ -78,7 +81,7 @@
         return self._respond(call, route, task, finished)
 
     def _waiting(self, request: CallRequest, route: Route) -> WaitingCall:
-        arrived_ms = now_ms()
+        arrived_ms = request.arrived_ms
         limit_ms = route.timeout_ms
         if request.timeout_ms is not None:
             limit_ms = min(limit_ms, request.timeout_ms)
--- a/packages/cassiahaven-entry/tests/test_attempts.py
+++ b/packages/cassiahaven-entry/tests/test_attempts.py
@@ -18,6 +18,7 @@
 from cassiahaven_entry import attempts as attempts_module
 from cassiahaven_entry.attempts import AttemptRunner
 from cassiahaven_entry.call import Call
+from cassiahaven_entry.clock import now_ms
 from cassiahaven_entry.header_dialect import HeaderDialect
 from cassiahaven_entry.metrics import Metrics
 from cassiahaven_entry.service_task import ServiceTask
@@ -92,7 +93,9 @@
             on_drain=lambda notice: None,
             on_crash=lambda notice: None,
         )
-        request = CallRequest("lookup", method, "/x", (), b"", None, None, None)
+        request = CallRequest(
+            "lookup", method, "/x", (), b"", None, None, None, arrived_ms=now_ms()
+        )
         finished = runner.run(Call.to_service(request, SERVICE, "parish", "call-1"), task)
         assert all(not item.in_flight for item in task.policy.pool.endpoint_by_id.values())
         return finished
--- /dev/null
+++ b/packages/cassiahaven-entry/tests/test_caller_connection.py
@@ -0,0 +1,323 @@
+"""Connections of callers: requests are read ahead, answers leave in order, callers may leave.
+
+Server and callers run as green threads of one hub.
+"""
+
+import eventlet
+import pytest
+from eventlet.event import Event
+from eventlet.green import socket
+
+from cassiahaven_core.edge import CallResponse, TransferBroken
+from cassiahaven_core.pipeline import MAX_REQUESTS
+from cassiahaven_entry.caller_connection import CallerLeft
+from cassiahaven_entry.caller_dialect import TARGET, CallerDialect, CallHead
+from cassiahaven_entry.gateway import HttpFrontend
+
+WAIT_S = 5.0
+
+
+class EchoDialect(CallerDialect):
+    """Take each request as a call whose name is its target."""
+
+    dropped_headers = frozenset()
+    idle_timeout_ms = 300.0
+
+    def respond_locally(self, environ):
+        return None
+
+    def read_head(self, environ):
+        return CallHead("s", environ[TARGET], None, None, None, 1_000_000)
+
+    def local_response(self, service, outcome, *, request_id=None, retry_after_ms=None):
+        body = outcome.header.encode()
+        return CallResponse(400, (("Content-Length", str(len(body))),), iter((body,)))
+
+
+class Backend:
+    """Handle calls: each blocks until it is released, unless it is named ``/now``."""
+
+    def __init__(self):
+        self.release_by_target = {}
+        self.started = []
+        self.left = []
+        self.request_by_target = {}
+        self.waits_for_turn = set()
+        self.body_by_target = {}
+
+    def __call__(self, request):
+        target = request.target
+        self.request_by_target[target] = request
+        try:
+            if target in self.waits_for_turn:
+                request.await_turn()
+            self.started.append(target)
+            if not target.startswith("/now"):
+                self.release_by_target.setdefault(target, Event()).wait()
+        except CallerLeft:
+            self.left.append(target)
+            raise
+        body = self.body_by_target.get(target, [f"{target} ".encode() + request.body])
+        size = sum(len(part) for part in body if isinstance(part, bytes))
+        return CallResponse(200, (("Content-Length", str(size)),), self._parts(body))
+
+    def release(self, target):
+        self.release_by_target.setdefault(target, Event()).send()
+
+    def _parts(self, body):
+        for part in body:
+            if isinstance(part, Event):
+                part.wait()
+            elif part is TransferBroken:
+                raise TransferBroken("cut")
+            else:
+                yield part
+
+
+class Caller:
+    """A raw connection to the frontend."""
+
+    def __init__(self, port):
+        self.socket = socket.create_connection(("127.0.0.1", port))
+        self.socket.settimeout(WAIT_S)
+        self.data = b""
+
+    def send(self, *targets, method="GET", body=b"", headers=""):
+        length = f"Content-Length: {len(body)}\r\n" if body else ""
+        text = "".join(
+            f"{method} {target} HTTP/1.1\r\nHost: h\r\n{headers}{length}\r\n" + body.decode()
+            for target in targets
+        )
+        self.socket.sendall(text.encode())
+
+    def read(self):
+        """Return status, body and whether the answer closes the connection."""
+        while b"\r\n\r\n" not in self.data:
+            self._receive()
+        head, _, self.data = self.data.partition(b"\r\n\r\n")
+        lines = head.decode().lower().split("\r\n")
+        values = dict(line.split(": ", 1) for line in lines[1:])
+        size = int(values["content-length"])
+        while len(self.data) < size:
+            self._receive()
+        body, self.data = self.data[:size], self.data[size:]
+        return int(lines[0].split()[1]), body, values.get("connection") == "close"
+
+    def is_closed(self):
+        return not self.data and self.socket.recv(1) == b""
+
+    def _receive(self):
+        received = self.socket.recv(65536)
+        if not received:
+            raise ConnectionError(f"closed after {self.data!r}")
+        self.data += received
+
+
+def until(check):
+    with eventlet.Timeout(WAIT_S):
+        while not check():
+            eventlet.sleep(0.005)
+
+
+@pytest.fixture
+def backend():
+    return Backend()
+
+
+@pytest.fixture
+def frontend(backend):
+    frontend = HttpFrontend("127.0.0.1", 0, dialect=EchoDialect())
+    task = eventlet.spawn(frontend.serve, backend)
+    yield frontend
+    task.kill()
+
+
+@pytest.fixture
+def connect(frontend):
+    return lambda: Caller(frontend._socket.getsockname()[1])
+
+
+def test_requests_run_side_by_side_and_are_answered_in_order(backend, connect):
+    caller = connect()
+    caller.send("/a", "/b", "/c")
+    until(lambda: len(backend.started) == 3)
+    for target in ("/c", "/b"):
+        backend.release(target)
+    eventlet.sleep(0.05)
+    assert caller.data == b""
+    backend.release("/a")
+    assert [caller.read() for _ in range(3)] == [
+        (200, target, False) for target in (b"/a ", b"/b ", b"/c ")
+    ]
+    caller.send("/now")
+    assert caller.read()[1] == b"/now "
+
+
+def test_reading_ahead_is_bounded_and_goes_on_as_answers_leave(backend, connect):
+    caller = connect()
+    targets = [f"/{number}" for number in range(MAX_REQUESTS + 3)]
+    caller.send(*targets)
+    until(lambda: len(backend.started) == MAX_REQUESTS)
+    eventlet.sleep(0.05)
+    assert len(backend.started) == MAX_REQUESTS
+    for target in targets:
+        backend.release(target)
+    assert [caller.read()[1].strip().decode() for _ in targets] == targets
+
+
+def test_sixteen_requests_with_bodies_each_get_their_own(backend, connect):
+    caller = connect()
+    for number in range(16):
+        caller.send(f"/now{number}", method="POST", body=b"x" * (number + 1))
+    for number in range(16):
+        assert caller.read()[1] == f"/now{number} ".encode() + b"x" * (number + 1)
+
+
+def test_chunked_bodies_are_read_before_the_next_request(backend, connect):
+    caller = connect()
+    chunked = (
+        "POST /now HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n"
+    )
+    caller.socket.sendall(chunked.encode() * 3)
+    assert [caller.read()[1] for _ in range(3)] == [b"/now abc"] * 3
+
+
+def test_a_call_that_must_not_run_twice_waits_until_those_before_it_are_answered(backend, connect):
+    backend.waits_for_turn.add("/order")
+    caller = connect()
+    caller.send("/a", "/order", "/b")
+    until(lambda: backend.started == ["/a", "/b"])
+    eventlet.sleep(0.05)
+    assert "/order" not in backend.started
+    backend.release("/a")
+    until(lambda: "/order" in backend.started)
+    backend.release("/order")
+    backend.release("/b")
+    assert [caller.read()[1] for _ in range(3)] == [b"/a ", b"/order ", b"/b "]
+
+
+def test_the_time_of_arrival_is_when_a_request_was_read(backend, connect):
+    backend.waits_for_turn.add("/order")
+    caller = connect()
+    caller.send("/a", "/order")
+    until(lambda: "/order" in backend.request_by_target)
+    arrived_ms = {name: item.arrived_ms for name, item in backend.request_by_target.items()}
+    assert arrived_ms["/order"] - arrived_ms["/a"] < 100
+    eventlet.sleep(0.2)
+    backend.release("/a")
+    until(lambda: "/order" in backend.started)
+    assert backend.request_by_target["/order"].arrived_ms == arrived_ms["/order"]
+
+
+@pytest.mark.parametrize("count", [1, 2, 5])
+def test_a_caller_that_leaves_cancels_all_it_asked_for(backend, connect, frontend, count):
+    caller = connect()
+    targets = [f"/{number}" for number in range(count)]
+    caller.send(*targets)
+    until(lambda: len(backend.started) == count)
+    caller.socket.close()
+    until(lambda: sorted(backend.left) == targets)
+    assert frontend.in_flight == 0
+
+
+def test_a_caller_that_leaves_after_it_asked_to_close_is_noticed_too(backend, connect, frontend):
+    caller = connect()
+    caller.send("/a", headers="Connection: close\r\n")
+    until(lambda: backend.started == ["/a"])
+    caller.socket.close()
+    until(lambda: backend.left == ["/a"])
+    assert frontend.in_flight == 0
+
+
+def test_a_caller_that_leaves_while_a_body_fills_the_window_is_noticed(backend, connect):
+    caller = connect()
+    caller.send("/a", method="POST", body=b"x" * 900_000)
+    until(lambda: backend.started == ["/a"])
+    caller.socket.close()
+    until(lambda: backend.left == ["/a"])
+
+
+def test_a_caller_that_leaves_in_the_middle_of_an_answer_ends_its_transfer(backend, connect):
+    rest = Event()
+    backend.body_by_target["/now"] = [b"x" * 5000, rest, b"second"]
+    caller = connect()
+    caller.send("/now")
+    until(lambda: caller.socket.recv(65536))
+    caller.socket.close()
+    eventlet.sleep(0.1)
+    assert not rest.ready()
+    assert not rest._waiters
+
+
+def test_a_malformed_request_is_answered_in_its_turn_and_ends_the_connection(backend, connect):
+    caller = connect()
+    caller.send("/a", "/b")
+    caller.socket.sendall(b"nonsense\r\n\r\n")
+    caller.send("/c")
+    until(lambda: len(backend.started) == 2)
+    backend.release("/b")
+    backend.release("/a")
+    assert [caller.read()[1] for _ in range(2)] == [b"/a ", b"/b "]
+    assert b" 400 " in caller.socket.recv(65536)
+    assert "/c" not in backend.started
+
+
+def test_an_answer_that_breaks_off_ends_the_requests_behind_it(backend, connect, frontend):
+    backend.body_by_target["/a"] = [b"x" * 5000, TransferBroken, b"rest"]
+    backend.waits_for_turn.add("/order")
+    caller = connect()
+    caller.send("/a", "/b", "/order")
+    until(lambda: backend.started == ["/a", "/b"])
+    backend.release("/a")
+    with pytest.raises(ConnectionError):
+        caller.read()
+    until(lambda: frontend.in_flight == 0)
+    assert "/order" not in backend.started
+    assert sorted(backend.left) == ["/b", "/order"]
+
+
+def test_a_stop_answers_what_was_read_and_passes_nothing_further_on(backend, connect, frontend):
+    caller = connect()
+    caller.send("/a", "/b")
+    until(lambda: len(backend.started) == 2)
+    frontend.is_closing = True
+    caller.send("/late")
+    eventlet.sleep(0.05)
+    backend.release("/a")
+    backend.release("/b")
+    assert caller.read() == (200, b"/a ", False)
+    assert caller.read() == (200, b"/b ", True)
+    assert caller.is_closed()
+    assert "/late" not in backend.started
+
+
+def test_a_stop_lets_an_idle_connection_ask_once_more(backend, connect, frontend):
+    caller = connect()
+    caller.send("/now")
+    assert caller.read() == (200, b"/now ", False)
+    frontend.is_closing = True
+    caller.send("/now")
+    assert caller.read() == (200, b"/now ", True)
+    assert caller.is_closed()
+
+
+def test_the_last_answer_arrives_though_further_requests_were_sent(backend, connect, frontend):
+    frontend.is_closing = True
+    backend.body_by_target["/now"] = [b"x" * 200_000]
+    caller = connect()
+    caller.send("/now", *[f"/late{number}" for number in range(200)])
+    eventlet.sleep(0.1)
+    status, body, closes = caller.read()
+    assert (status, len(body), closes) == (200, 200_000, True)
+
+
+def test_an_idle_connection_is_closed_but_not_one_with_an_answer_due(backend, connect):
+    idle, busy = connect(), connect()
+    busy.send("/a")
+    assert idle.is_closed()
+    eventlet.sleep(0.4)
+    backend.release("/a")
+    assert busy.read()[1] == b"/a "
+    busy.send("/now")
+    assert busy.read()[1] == b"/now "
+    assert busy.is_closed()
