Try ejected endpoints by a probe where no idempotent call can

From 22 to 28 s 65 of 250 redeem calls a second were served, 960 refused as wait-too-long, with seven endpoints used out of twelve.

An ejected endpoint is probed on its health path 200 ms after its trial was due; a probe that fails is repeated each second, one that answers returns it to service with its failures kept, so that one failed call ejects it again for longer. Ruled out: wrong load reports and slot shares, whose endpoints answered at 76 to 160 ms.

--- a/packages/cassiahaven-core/cassiahaven_core/pool.py
+++ b/packages/cassiahaven-core/cassiahaven_core/pool.py
@@ -19,6 +19,7 @@
 BASE_EJECTION_MS = 1000.0
 MAX_EJECTION_MS = 30_000.0
 MAX_EJECTED_SHARE = 0.5
+CALL_TRIAL_HEAD_START_MS = 200.0  # a trial by an idempotent call tells more than one by a probe
 DEFAULT_WARM_UP_MS = 2000.0  # used for upstreams that do not announce a warm-up time
 COLD_PENALTY = 2.0
 OCCUPANCY_COST = 0.2
@@ -332,6 +333,35 @@
                 best, best_cost = endpoint, cost
         return best
 
+    def start_probe_trial(self, now_ms: float) -> EndpointAddress | None:
+        """Start the trial of an ejected endpoint by a probe, if one is due.
+
+        Handles services without idempotent calls, whose ejected endpoints would stay out for good.
+        """
+        for name in self._ejected:
+            endpoint = self.endpoint_by_id[name]
+            if self._is_trial_due(endpoint, now_ms - CALL_TRIAL_HEAD_START_MS):
+                self.handle(name, EndpointEvent.TRIAL, "probe due", now_ms)
+                return endpoint.address
+        return None
+
+    def finish_probe_trial(
+        self, name: str, report: LoadReport | ProbeFailed, now_ms: float
+    ) -> None:
+        """Return a probed endpoint to service, or eject it until its next trial.
+
+        It keeps its count of failures, so that one more failed call ejects it again.
+        """
+        endpoint = self.endpoint_by_id.get(name)
+        if endpoint is None or endpoint.status is not EndpointStatus.TRIAL:
+            return
+        if isinstance(report, ProbeFailed):
+            endpoint.ejected_until_ms = now_ms + BASE_EJECTION_MS
+            self.handle(name, EndpointEvent.FAILING, f"probe failed: {report.detail}", now_ms)
+            return
+        self.report_load(name, report, now_ms)
+        self.handle(name, EndpointEvent.SUCCEEDED, "probe answered", now_ms)
+
     def start(self, endpoint: Endpoint, call_id: str, partner: str, now_ms: float) -> None:
         """Count ``call_id`` as in flight at ``endpoint``."""
         slowdown = self._expected_slowdown(endpoint, now_ms)
@@ -488,6 +518,7 @@
             endpoint.ejections = 0
             self.handle(name, EndpointEvent.SUCCEEDED, "trial succeeded", now_ms)
         elif endpoint.status is EndpointStatus.COLD and now_ms >= endpoint.warm_up_ends_ms:
+            endpoint.ejections = 0
             self.handle(name, EndpointEvent.WARMED, "warmed up", now_ms)
 
     def _record_failure(self, endpoint: Endpoint, result: CallResult, now_ms: float) -> None:
--- a/packages/cassiahaven-core/tests/test_worst_load.py
+++ b/packages/cassiahaven-core/tests/test_worst_load.py
@@ -365,6 +365,86 @@
     )
 
 
+def order(name, at_ms):
+    return WaitingCall(name, "lookup", False, at_ms + 1000.0, at_ms)
+
+
+def eject(service_policy, endpoint, now_ms):
+    for number in range(3):
+        run_one(
+            service_policy,
+            f"lost-{number}",
+            endpoint,
+            now_ms,
+            took_ms=WORK_MS,
+            result=CallResult.CONNECTION_LOST,
+        )
+    assert not service_policy.pool.endpoint_by_id[endpoint].is_serving
+
+
+def test_endpoint_ejected_from_a_service_without_idempotent_calls_comes_back():
+    service_policy = policy(endpoints=2)
+    eject(service_policy, "a0", 0.0)
+    running, used_at_ms = deque(), []
+    for step in range(200):
+        now_ms = step * 25.0  # more than one endpoint can serve
+        while running and running[0][0] <= now_ms:
+            _, name, endpoint = running.popleft()
+            service_policy.finish(order(name, now_ms), endpoint, CallResult.OK, now_ms)
+        if (address := service_policy.pool.start_probe_trial(now_ms)) is not None:
+            service_policy.pool.finish_probe_trial(address.endpoint, LoadReport(0), now_ms)
+        for effect in service_policy.submit(order(str(step), now_ms), now_ms):
+            if isinstance(effect, Dispatch):
+                endpoint = effect.address.endpoint
+                running.append((now_ms + WORK_MS, effect.call_id, endpoint))
+                used_at_ms += [now_ms] if endpoint == "a0" else []
+    assert used_at_ms
+    assert used_at_ms[0] < 1500.0
+
+
+def test_endpoint_whose_probes_fail_is_probed_once_a_second_and_gets_no_calls():
+    service_policy = policy(endpoints=2)
+    eject(service_policy, "a0", 0.0)
+    probed_at_ms = []
+    for step in range(1000):
+        now_ms = step * 10.0
+        if service_policy.pool.start_probe_trial(now_ms) is not None:
+            probed_at_ms.append(now_ms)
+            service_policy.pool.finish_probe_trial("a0", ProbeFailed("silent"), now_ms)
+        [effect] = service_policy.submit(order(str(step), now_ms), now_ms)
+        assert effect.address.endpoint == "a1"
+        service_policy.finish(order(str(step), now_ms), "a1", CallResult.OK, now_ms)
+    assert 5 <= len(probed_at_ms) <= 10
+
+
+def test_endpoint_that_passes_probes_but_fails_calls_is_ejected_again_for_longer_each_time():
+    service_policy = policy(endpoints=2)
+    eject(service_policy, "a0", 0.0)
+    failed_at_ms = []
+    for step in range(3000):
+        now_ms = step * 10.0
+        if service_policy.pool.start_probe_trial(now_ms) is not None:
+            service_policy.pool.finish_probe_trial("a0", LoadReport(0), now_ms)
+        [effect] = service_policy.submit(order(str(step), now_ms), now_ms)
+        endpoint = effect.address.endpoint
+        result = CallResult.CONNECTION_LOST if endpoint == "a0" else CallResult.OK
+        if endpoint == "a0":
+            failed_at_ms.append(now_ms)
+        service_policy.finish(order(str(step), now_ms), endpoint, result, now_ms)
+    gaps = [after - before for before, after in zip(failed_at_ms, failed_at_ms[1:], strict=False)]
+    assert gaps == sorted(gaps)
+    assert len(failed_at_ms) <= 6
+
+
+def test_trial_is_left_to_an_idempotent_call_if_there_is_one():
+    service_policy = policy(endpoints=2)
+    eject(service_policy, "a0", 0.0)
+    assert service_policy.pool.start_probe_trial(1050.0) is None
+    [effect] = service_policy.submit(call("trial", at_ms=1050.0), 1050.0)
+    assert effect.address.endpoint == "a0"
+    assert service_policy.pool.start_probe_trial(1300.0) is None
+
+
 def test_retracted_crash_does_not_quarantine_request():
     quarantine = Quarantine()
     quarantine.record("f", "e1/1", 0.0)
--- a/packages/cassiahaven-entry/cassiahaven_entry/routed_node.py
+++ b/packages/cassiahaven-entry/cassiahaven_entry/routed_node.py
@@ -19,7 +19,7 @@
 from cassiahaven_core.routed_settings import RoutedSettings, SocketAddress
 from cassiahaven_core.table import ServiceTable
 from cassiahaven_entry.adapter import PlatformAdapter
-from cassiahaven_entry.attempts import AttemptRunner
+from cassiahaven_entry.attempts import PROBE_TIMEOUT_MS, AttemptRunner
 from cassiahaven_entry.auxiliary_server import AuxiliaryServer
 from cassiahaven_entry.caller_dialect import Environ
 from cassiahaven_entry.clock import MS_PER_S, now_ms
@@ -417,8 +417,15 @@
             for task in list(self._task_by_service.values()):
                 if task.policy.admission.waiting:
                     task.tick()
+                if task.health_path and (address := task.start_probe_trial()) is not None:
+                    eventlet.spawn_n(self._try_endpoint, task, address)
             eventlet.sleep(TICK_INTERVAL_MS / MS_PER_S)
 
+    def _try_endpoint(self, task: ServiceTask, address: EndpointAddress) -> None:
+        self.metrics.probes.labels(task.service).inc()
+        report = self.transport.probe(address, task.health_path, PROBE_TIMEOUT_MS)
+        task.finish_probe_trial(address.endpoint, report)
+
 
 @contextmanager
 def running(node: RoutedNode) -> Iterator[RoutedNode]:
--- a/packages/cassiahaven-entry/cassiahaven_entry/service_task.py
+++ b/packages/cassiahaven-entry/cassiahaven_entry/service_task.py
@@ -5,7 +5,7 @@
 from eventlet.event import Event
 
 from cassiahaven_core.admission import Admission, WaitingCall
-from cassiahaven_core.lifecycle import EndpointEvent
+from cassiahaven_core.lifecycle import EndpointEvent, EndpointStatus
 from cassiahaven_core.pool import (
     CallResult,
     EndpointAddress,
@@ -125,6 +125,20 @@
         self._log_status(endpoint, before)
         return changed
 
+    def start_probe_trial(self) -> EndpointAddress | None:
+        """Return the address of an ejected endpoint that is to be probed, if one is due."""
+        address = self.policy.pool.start_probe_trial(now_ms())
+        if address is not None:
+            self._log_status(address.endpoint, EndpointStatus.EJECTED.value)
+        return address
+
+    def finish_probe_trial(self, endpoint: str, report: LoadReport | ProbeFailed) -> None:
+        """Report the probe of an ejected endpoint."""
+        before = self._status_of(endpoint)
+        self.policy.pool.finish_probe_trial(endpoint, report, now_ms())
+        self._log_status(endpoint, before)
+        self.tick()
+
     def tick(self) -> None:
         """Dispatch waiting calls that can proceed and refuse those that have expired."""
         self._deliver(self.policy.tick(now_ms()))
