Give up idempotent calls that an endpoint does not begin to answer, and believe in less room there

Pattern: endpoints that never answer a call for which they have no room (on_full = hang). Such a call waited to its deadline. Now an idempotent call waits six typical latencies, scaled by the endpoint's slowness, then is sent elsewhere within the retry budget while another answer can still be in time; unanswered calls lower the endpoint's room.

The socket's own timeout no longer cuts a body after its head.

--- a/benchmarks/balancers.py
+++ b/benchmarks/balancers.py
@@ -156,10 +156,16 @@
     Args:
         entries: Number of entries in the set.
         cell_by_partner: Effective weight and limits of each partner.
+        shares_slots: Whether each entry fills only its share of an endpoint's slots.
+        reads_reports: Whether the loads that answers report are used.
+        gives_up: Whether calls that an endpoint does not answer are sent elsewhere.
     """
 
     entries = 2
     cell_by_partner: dict[str, CellValue] = {}
+    shares_slots = True
+    reads_reports = True
+    gives_up = True
 
     def __init__(self, *arguments: object) -> None:
         super().__init__(*arguments)
@@ -168,6 +174,7 @@
         self._call_by_id: dict[str, SimulatedCall] = {}
         self._waiting_by_id: dict[str, WaitingCall] = {}
         self._tried_by_id: dict[str, frozenset[str]] = {}
+        self._attempt_by_id: dict[str, object] = {}
         self.retries = 0
         self._reported = {endpoint.name: 0 for endpoint in self.endpoints}
         self.loop.call_at(TICK_INTERVAL_MS, self._tick)
@@ -187,7 +194,8 @@
         self._reported = {endpoint.name: endpoint.load for endpoint in self.endpoints}
 
     def _make_policy(self, number: int) -> ServicePolicy:
-        pool = Pool(share=SlotShare(number, self.entries), rng=random.Random(number))
+        share = SlotShare(number, self.entries) if self.shares_slots else SlotShare()
+        pool = Pool(share=share, rng=random.Random(number))
         addresses = [
             EndpointAddress(item.name, "1", "zone", "host", 1, item.slots)
             for item in self.endpoints
@@ -216,18 +224,35 @@
         call = self._call_by_id[effect.call_id]
         self._tried_by_id[effect.call_id] |= {name}
         endpoint = self._endpoint_by_name[name]
-        endpoint.submit(
-            Job(call.work_ms, lambda ok: self._done(policy, effect.call_id, endpoint, ok))
-        )
+        policy.pool.mark_sent(name, effect.call_id)
+        job = Job(call.work_ms, lambda ok: None)
+        attempt = self._attempt_by_id[effect.call_id] = object()
+
+        def finish(result: CallResult) -> None:
+            if self._attempt_by_id.get(effect.call_id) is attempt:
+                del self._attempt_by_id[effect.call_id]
+                endpoint.cancel(job)
+                self._done(policy, effect.call_id, endpoint, result)
+
+        job.done = lambda ok: finish(CallResult.OK if ok else CallResult.SERVER_ERROR)
+        waiting = self._waiting_by_id[effect.call_id]
+        tried = self._tried_by_id[effect.call_id]
+        patience_ms = policy.answer_patience_ms(waiting, name, tried, self.loop.now_ms)
+        if self.gives_up and patience_ms is not None:
+            given_up_ms = self.loop.now_ms + patience_ms
+            self.loop.call_at(given_up_ms, lambda: finish(CallResult.UNANSWERED))
+        self.loop.call_at(call.deadline_ms, lambda: finish(CallResult.TIMEOUT))
+        endpoint.submit(job)
 
     def _done(
-        self, policy: ServicePolicy, call_id: str, endpoint: SimulatedEndpoint, ok: bool
+        self, policy: ServicePolicy, call_id: str, endpoint: SimulatedEndpoint, result: CallResult
     ) -> None:
-        result = CallResult.OK if ok else CallResult.SERVER_ERROR
+        ok = result is CallResult.OK
         waiting = self._waiting_by_id[call_id]
         now_ms = self.loop.now_ms
-        report = LoadReport(self._reported[endpoint.name])
-        policy.pool.report_load(endpoint.name, report, now_ms)
+        if self.reads_reports and result in (CallResult.OK, CallResult.SERVER_ERROR):
+            report = LoadReport(self._reported[endpoint.name])
+            policy.pool.report_load(endpoint.name, report, now_ms)
         effects = policy.finish(waiting, endpoint.name, result, now_ms)
         if ok:
             self._end(call_id, True)
--- a/benchmarks/policy.py
+++ b/benchmarks/policy.py
@@ -38,6 +38,7 @@
         bulk_factor: Mean work of a bulk pull as a multiple of that of a single lookup.
         slow: Whether endpoints slow down at random times.
         failing: Number of endpoints that fail every call after the warm-up.
+        queue_limit: Calls that an endpoint queues; any further one is never answered.
     """
 
     name: str
@@ -49,6 +50,7 @@
     bulk_factor: float = 10.0
     slow: bool = False
     failing: int = 0
+    queue_limit: int | None = None
     draining_share: float = 0.0
     duration_ms: float = 30_000.0
 
@@ -73,7 +75,9 @@
     rng = random.Random(seed)
     loop = EventLoop()
     endpoints = [
-        SimulatedEndpoint(f"endpoint-{number}", workload.slots, loop)
+        SimulatedEndpoint(
+            f"endpoint-{number}", workload.slots, loop, queue_limit=workload.queue_limit
+        )
         for number in range(workload.endpoints)
     ]
     for endpoint in endpoints[: workload.failing]:
@@ -108,15 +112,20 @@
         arrived_ms = loop.now_ms
         partner = BULK if is_bulk else SINGLE
 
+        is_ended = False
+
         def end(ok: bool) -> None:
-            if arrived_ms < WARM_UP_MS:
+            nonlocal is_ended
+            if is_ended or arrived_ms < WARM_UP_MS:
                 return
+            is_ended = True
             if ok:
                 results[partner].latencies_ms.append(loop.now_ms - arrived_ms)
             else:
                 results[partner].failed += 1
 
         deadline_ms = arrived_ms + TIMEOUT_MS
+        loop.call_at(deadline_ms, lambda: end(False))
         balancer.arrive(SimulatedCall(number, partner, work_ms, arrived_ms, deadline_ms, end))
         next_ms = arrived_ms + rng.expovariate(rate_per_ms)
         if next_ms < until_ms:
@@ -135,7 +144,7 @@
 
 
 def configured_policy(
-    *, entries: int, weights: dict[str, float] | None = None
+    *, entries: int, weights: dict[str, float] | None = None, **options: bool
 ) -> Callable[..., Balancer]:
     """Return a subclass of ``CorePolicy`` with this configuration."""
     weights = weights or {SINGLE: 1.0, BULK: 1.0}
@@ -143,8 +152,8 @@
         partner: CellValue(weight, 1e9, 1_000_000, 100_000, 0.0)
         for partner, weight in weights.items()
     }
-    options = {"entries": entries, "cell_by_partner": cells}
-    return type("ConfiguredPolicy", (CorePolicy,), options)
+    attributes = {"entries": entries, "cell_by_partner": cells, **options}
+    return type("ConfiguredPolicy", (CorePolicy,), attributes)
 
 
 CANDIDATES: dict[str, Callable[..., Balancer]] = {
@@ -157,6 +166,15 @@
     "policy, entry set of 2": configured_policy(entries=2),
     "policy, entry set of 1": configured_policy(entries=1),
     "policy, weight 4 to 1": configured_policy(entries=1, weights={SINGLE: 4.0, BULK: 1.0}),
+    "own calls only, 3 entries": configured_policy(
+        entries=3, shares_slots=False, reads_reports=False, gives_up=False
+    ),
+    "own calls and reports, 3 entries": configured_policy(
+        entries=3, shares_slots=False, gives_up=False
+    ),
+    "divided slots, 3 entries": configured_policy(entries=3, gives_up=False),
+    "own calls, reports and giving up, 3 entries": configured_policy(entries=3, shares_slots=False),
+    "divided slots and giving up, 3 entries": configured_policy(entries=3),
     "full knowledge": FullKnowledge,
 }
 
--- a/benchmarks/scenarios.py
+++ b/benchmarks/scenarios.py
@@ -13,6 +13,17 @@
 INTAKE = Workload("koledar observance-intake", 6, 3, 0.7, bulk_share=0.0, duration_ms=DURATION_MS)
 INVENTORY = Workload("swan-coast inventory", 14, 6, 0.7, duration_ms=DURATION_MS)
 ORDERING = Workload("swan-coast ordering", 6, 6, 0.7, bulk_share=0.0, duration_ms=DURATION_MS)
+LEDGER = Workload(
+    "bonwerk ledger, hangs when full",
+    12,
+    4,
+    0.85,
+    service_ms=60.0,
+    bulk_share=0.0,
+    slow=True,
+    queue_limit=2,
+    duration_ms=30_000.0,
+)
 MAIN_CANDIDATES = ("two choices, stale reports", "policy, entry set of 1", "full knowledge")
 
 
@@ -42,6 +53,7 @@
         yield from _with_candidates(overload, ("policy, entry set of 1", "policy, weight 4 to 1"))
         failing = replace(base, name=f"{base.name}, one fails fast", failing=1)
         yield from _with_candidates(failing, (*MAIN_CANDIDATES, "random"))
+    yield from _with_candidates(LEDGER, tuple(name for name in CANDIDATES if "3 entries" in name))
     for base in (INTAKE, ORDERING):
         yield from _with_candidates(
             replace(base, name=f"{base.name}, slow", slow=True), MAIN_CANDIDATES
--- a/benchmarks/simulation.py
+++ b/benchmarks/simulation.py
@@ -29,7 +29,7 @@
             callback()
 
 
-@dataclass(slots=True)
+@dataclass(slots=True, eq=False)
 class Job:
     """Call at an endpoint.
 
@@ -50,7 +50,9 @@
         speed: Work done per unit of time in each slot; 1 is full speed.
         is_failing: Every new job fails, 0.2 ms after it arrives.
         is_draining: The endpoint is leaving and must get no new jobs.
+        queue_limit: Jobs that wait; any further one is never answered. ``None`` for no limit.
         late_jobs: Number of jobs that arrived while the endpoint was draining.
+        hung_jobs: Number of jobs that are never answered.
         _updated_ms: Time up to which the work of the running jobs has been subtracted.
         _generation: Number of the latest scheduled completion; earlier ones are ignored.
     """
@@ -61,7 +63,9 @@
     speed: float = 1.0
     is_failing: bool = False
     is_draining: bool = False
+    queue_limit: int | None = None
     late_jobs: int = 0
+    hung_jobs: int = 0
     running: list[Job] = field(default_factory=list)
     queue: deque[Job] = field(default_factory=deque)
     _updated_ms: float = 0.0
@@ -82,10 +86,23 @@
         self._update_work()
         if len(self.running) < self.slots:
             self.running.append(job)
+        elif self.queue_limit is not None and len(self.queue) >= self.queue_limit:
+            self.hung_jobs += 1
         else:
             self.queue.append(job)
         self._schedule()
 
+    def cancel(self, job: Job) -> None:
+        """Drop a job whose caller has closed the connection."""
+        self._update_work()
+        if job in self.queue:
+            self.queue.remove(job)
+        elif job in self.running:
+            self.running.remove(job)
+            if self.queue:
+                self.running.append(self.queue.popleft())
+            self._schedule()
+
     def set_speed(self, speed: float) -> None:
         """Change the speed of all running jobs."""
         self._update_work()
--- a/packages/cassiahaven-core/cassiahaven_core/edge.py
+++ b/packages/cassiahaven-core/cassiahaven_core/edge.py
@@ -300,9 +300,21 @@
 
     @abstractmethod
     def send(
-        self, address: EndpointAddress, request: UpstreamRequest, timeout_ms: float
+        self,
+        address: EndpointAddress,
+        request: UpstreamRequest,
+        timeout_ms: float,
+        *,
+        patience_ms: float | None = None,
     ) -> SendResult:
-        """Send ``request`` once, without retries, and return once the response headers arrive."""
+        """Send ``request`` once, without retries, and return once the response headers arrive.
+
+        Args:
+            address: The endpoint.
+            request: The call.
+            timeout_ms: Time until the end of the response.
+            patience_ms: Time until the response headers, after which the call counts as unanswered.
+        """
 
     def probe(
         self, address: EndpointAddress, path: str, timeout_ms: float
--- a/packages/cassiahaven-core/cassiahaven_core/pool.py
+++ b/packages/cassiahaven-core/cassiahaven_core/pool.py
@@ -1,6 +1,7 @@
 """Endpoint pool of one service at one entry: tracks endpoint health and selects endpoints."""
 
 import math
+from collections import Counter
 from dataclasses import dataclass, field
 from enum import Enum
 from random import Random
@@ -38,6 +39,9 @@
 REPORT_DECAY_MS = 150.0  # a VM's neighbours change their load about this often
 FRESH_REPORT_MS = 3.0  # a probe gains nothing over a report this recent
 SLOWDOWN_EWMA_ALPHA = 0.02
+MAX_WORK_RATIO = 6.0  # above the factor by which noisy neighbours slow a VM
+MIN_ANSWERS = 100  # the typical latency of a partner has settled by then
+ROOM_RECOVERY_CALLS = 10  # answers after which an endpoint is believed to take one more call
 FAILED_PROBE_COST = 20.0  # higher than the cost of the slowest neighbour
 
 
@@ -51,6 +55,7 @@
     CONNECT_FAILED = "connect-failed"
     CONNECTION_LOST = "connection-lost"
     TIMEOUT = "timeout"
+    UNANSWERED = "unanswered"
     CANCELLED = "cancelled"
 
 
@@ -61,8 +66,10 @@
         CallResult.CONNECT_FAILED,
         CallResult.CONNECTION_LOST,
         CallResult.TIMEOUT,
+        CallResult.UNANSWERED,
     }
 )
+UNANSWERED_RESULTS = frozenset({CallResult.TIMEOUT, CallResult.UNANSWERED})
 
 
 @dataclass(frozen=True, slots=True)
@@ -167,6 +174,7 @@
         failed_ms: Time of the last failed call.
         warm_up_ends_ms: End of the warm-up after a start.
         limit: In-flight limit of this entry at the endpoint.
+        room: Calls that the endpoint is believed to take, lowered by each unanswered one.
         others_in_flight: Calls of other entries according to the last load report.
         probe_failed_ms: Time of the last failed or unanswered probe.
         probe_tokens: Token bucket balance for probes.
@@ -192,6 +200,7 @@
     probe_tokens: float = 1.0
     probe_refilled_ms: float = 0.0
     limit: int = 0
+    room: float = math.inf
     tie_break: float = 1.0
 
     @property
@@ -216,6 +225,7 @@
     __slots__ = (
         "endpoint_by_id",
         "typical_latency_ms_by_partner",
+        "_answers_by_partner",
         "_share",
         "_rng",
         "_ejected",
@@ -227,6 +237,7 @@
     def __init__(self, *, share: SlotShare = FULL_SLOT_SHARE, rng: Random | None = None) -> None:
         self.endpoint_by_id: dict[str, Endpoint] = {}
         self.typical_latency_ms_by_partner: dict[str, float] = {}
+        self._answers_by_partner: Counter[str] = Counter()
         self._share = share
         self._rng = rng or Random()
         self._ejected: set[str] = set()
@@ -307,6 +318,14 @@
         """Return the typical call latency of ``partner``, milliseconds."""
         return self.typical_latency_ms_by_partner.get(partner, INITIAL_PARTNER_LATENCY_MS)
 
+    def latency_bound_ms(self, partner: str, endpoint: str, now_ms: float) -> float | None:
+        """Return how long the work of a call may take at an endpoint, ``None`` if unknown."""
+        known = self.endpoint_by_id.get(endpoint)
+        if known is None or self._answers_by_partner[partner] < MIN_ANSWERS:
+            return None
+        slowness = max(1.0, _decayed_slowness(known, now_ms))
+        return self.typical_latency_ms(partner) * MAX_WORK_RATIO * slowness
+
     def choose(
         self, now_ms: float, *, idempotent: bool, excluded: frozenset[str] = frozenset()
     ) -> Endpoint | None:
@@ -324,7 +343,8 @@
         best: Endpoint | None = None
         best_cost = float("inf")
         for endpoint in self._serving:
-            if len(endpoint.in_flight_by_call_id) >= self._slot_limit.limit(endpoint.limit):
+            limit = min(self._slot_limit.limit(endpoint.limit), endpoint.room)
+            if len(endpoint.in_flight_by_call_id) >= limit:
                 continue
             if excluded and endpoint.address.endpoint in excluded:
                 continue
@@ -382,6 +402,8 @@
         started = endpoint.in_flight_by_call_id.pop(call_id, None)
         if started is None:
             return
+        if result in UNANSWERED_RESULTS:
+            endpoint.room = max(1.0, min(endpoint.room, float(endpoint.in_flight)))
         if result is CallResult.OK:
             self._record_success(endpoint, started, now_ms)
         elif result in FAILED_RESULTS:
@@ -502,6 +524,8 @@
             MIN_TYPICAL_LATENCY_MS,
             typical_latency_ms + PARTNER_LATENCY_EWMA_ALPHA * (took_ms - typical_latency_ms),
         )
+        self._answers_by_partner[started.partner] += 1
+        endpoint.room += 1 / ROOM_RECOVERY_CALLS
         ratio = min(MAX_SLOWNESS, took_ms / typical_latency_ms)
         taken = len(endpoint.in_flight_by_call_id) + 1 + self._others_in_flight(endpoint, now_ms)
         is_nearly_full = taken > endpoint.address.slots * NEARLY_FULL_SHARE
--- a/packages/cassiahaven-core/cassiahaven_core/reason.py
+++ b/packages/cassiahaven-core/cassiahaven_core/reason.py
@@ -48,3 +48,4 @@
     UPSTREAM_REFUSED = "upstream-refused"
     CONNECTION_LOST = "connection-lost"
     SERVER_ERROR = "server-error"
+    UNANSWERED = "unanswered"
--- a/packages/cassiahaven-core/cassiahaven_core/retry.py
+++ b/packages/cassiahaven-core/cassiahaven_core/retry.py
@@ -43,16 +43,22 @@
         _count(self._calls, now_ms)
         self._call_count += 1
 
+    def has_room(self, now_ms: float) -> bool:
+        """Return whether the budget allows a retry now."""
+        self._expire(now_ms)
+        return self._retry_count + 1 <= self._allowed()
+
     def withdraw(self, now_ms: float) -> bool:
         """Spend one retry if the budget allows it, and return whether it did."""
-        self._expire(now_ms)
-        allowed = self.limits.share * self._call_count + self.limits.slack
-        if self._retry_count + 1 > allowed:
+        if not self.has_room(now_ms):
             return False
         _count(self._retries, now_ms)
         self._retry_count += 1
         return True
 
+    def _allowed(self) -> float:
+        return self.limits.share * self._call_count + self.limits.slack
+
     def _expire(self, now_ms: float) -> None:
         # Calls expire one bucket early and retries one bucket late, so rounding never adds a retry.
         start_ms = now_ms - self.limits.window_ms
--- a/packages/cassiahaven-core/cassiahaven_core/service.py
+++ b/packages/cassiahaven-core/cassiahaven_core/service.py
@@ -22,6 +22,7 @@
     CallResult.REPLACED: RetryReason.UPSTREAM_REFUSED,
     CallResult.CONNECTION_LOST: RetryReason.CONNECTION_LOST,
     CallResult.SERVER_ERROR: RetryReason.SERVER_ERROR,
+    CallResult.UNANSWERED: RetryReason.UNANSWERED,
 }
 NOT_RUN_RESULTS = frozenset({CallResult.CONNECT_FAILED, CallResult.REFUSED, CallResult.REPLACED})
 
@@ -168,6 +169,34 @@
         self.admission.requeue(replace(call, tried=tried))
         return reason, self.advance(now_ms)
 
+    def answer_patience_ms(
+        self, call: WaitingCall, endpoint: str, tried: frozenset[str], now_ms: float
+    ) -> float | None:
+        """Return how long to wait for a call's answer before it is sent elsewhere.
+
+        Handles endpoints that never answer a call for which they have no room: an idempotent call
+        is given up there once its work cannot explain the wait, while another endpoint can still
+        answer it in time.
+
+        Args:
+            call: The call, about to be sent.
+            endpoint: The endpoint that it is sent to.
+            tried: Endpoints that the call has been sent to, including this one.
+            now_ms: Current time, milliseconds.
+
+        Returns:
+            Milliseconds, ``None`` to wait until the deadline.
+        """
+        if not call.idempotent or len(tried) >= call.most_attempts:
+            return None
+        patience_ms = self.pool.latency_bound_ms(call.partner, endpoint, now_ms)
+        answer_ms = self.pool.typical_latency_ms(call.partner)
+        if patience_ms is None or now_ms + patience_ms + answer_ms > call.deadline_ms:
+            return None
+        if not self.pool.has_untried_endpoint(tried) or not self.retry_budget.has_room(now_ms):
+            return None
+        return patience_ms
+
     def advance(self, now_ms: float) -> list[Effect]:
         """Dispatch waiting calls while endpoints have free slots."""
         effects: list[Effect] = []
--- a/packages/cassiahaven-core/tests/test_worst_load.py
+++ b/packages/cassiahaven-core/tests/test_worst_load.py
@@ -1,7 +1,10 @@
 """Adverse load patterns, replayed against the core decisions on a simulated clock."""
 
+import heapq
 import random
 from collections import Counter, deque
+from dataclasses import replace
+from itertools import count
 
 import pytest
 from hypothesis import given
@@ -9,7 +12,14 @@
 
 from cassiahaven_core.admission import Admission, WaitingCall
 from cassiahaven_core.load_shedding import unservable_calls
-from cassiahaven_core.pool import CallResult, EndpointAddress, LoadReport, Pool, ProbeFailed
+from cassiahaven_core.pool import (
+    CallResult,
+    EndpointAddress,
+    LoadReport,
+    Pool,
+    ProbeFailed,
+    SlotShare,
+)
 from cassiahaven_core.quarantine import Quarantine
 from cassiahaven_core.reason import RefusalReason
 from cassiahaven_core.retry import RetryBudget, RetryLimits
@@ -445,6 +455,126 @@
     assert service_policy.pool.start_probe_trial(1300.0) is None
 
 
+class HangingEndpoints:
+    """Endpoints that run calls in slots, queue a few, and never answer any others."""
+
+    def __init__(self, names, *, slots, queue):
+        self.slots, self.queue = slots, queue
+        self.ends_ms_by_call = {name: {} for name in names}
+
+    def send(self, name, call_id, now_ms):
+        """Return when the call will be answered, ``None`` if never."""
+        ends_ms = self.ends_ms_by_call[name]
+        for done in [key for key, at_ms in ends_ms.items() if at_ms <= now_ms]:
+            del ends_ms[done]
+        if len(ends_ms) >= self.slots + self.queue:
+            return None
+        busy = sorted(ends_ms.values())
+        free_ms = busy[-self.slots] if len(busy) >= self.slots else now_ms
+        ends_ms[call_id] = max(now_ms, free_ms) + WORK_MS
+        return ends_ms[call_id]
+
+
+def replay_hanging_endpoint(*, gives_up):
+    """Serve calls while one of four endpoints is filled by others; count the answered ones."""
+    service_policy = policy(endpoints=4)
+    for number in range(100):
+        run_one(service_policy, f"warm-{number}", "a1", 0.0, took_ms=WORK_MS)
+    endpoints = HangingEndpoints([f"a{n}" for n in range(4)], slots=3, queue=2)
+    for number in range(5):
+        endpoints.ends_ms_by_call["a0"][f"other-{number}"] = 60_000.0
+    due, tried_by_call, answered, numbers = [], {}, 0, count()
+
+    def send(item, address, now_ms):
+        tried = tried_by_call[item.call_id] = tried_by_call.get(item.call_id, frozenset()) | {
+            address.endpoint
+        }
+        ends_ms = endpoints.send(address.endpoint, item.call_id, now_ms)
+        patience_ms = service_policy.answer_patience_ms(item, address.endpoint, tried, now_ms)
+        waits_ms = item.deadline_ms
+        if gives_up and patience_ms is not None:
+            waits_ms = now_ms + patience_ms
+        is_answered = ends_ms is not None and ends_ms <= waits_ms
+        at_ms = ends_ms if is_answered else waits_ms
+        heapq.heappush(due, (at_ms, next(numbers), item, is_answered, address))
+
+    def apply(effects, item, now_ms):
+        for effect in effects:
+            if isinstance(effect, Dispatch) and effect.call_id == item.call_id:
+                send(item, effect.address, now_ms)
+
+    for step in range(400):
+        now_ms = 1000.0 + step * 50.0
+        while due and due[0][0] <= now_ms:
+            at_ms, _, item, is_answered, address = heapq.heappop(due)
+            given_up = at_ms < item.deadline_ms
+            result = CallResult.UNANSWERED if given_up else CallResult.TIMEOUT
+            result = CallResult.OK if is_answered else result
+            service_policy.finish(item, address.endpoint, result, at_ms)
+            answered += is_answered
+            if result is CallResult.UNANSWERED:
+                retry = service_policy.retry(item, result, tried_by_call[item.call_id], at_ms)
+                apply(retry[1] if retry else [], item, at_ms)
+        item = call(str(step), at_ms=now_ms, deadline_ms=2000.0, target_ms=1900.0)
+        apply(service_policy.submit(item, now_ms), item, now_ms)
+    return answered, endpoints, service_policy
+
+
+def test_calls_that_an_endpoint_never_answers_are_sent_elsewhere_in_time():
+    without, _, _ = replay_hanging_endpoint(gives_up=False)
+    answered, _, service_policy = replay_hanging_endpoint(gives_up=True)
+    assert answered > without
+    assert answered >= 390
+    assert service_policy.pool.endpoint_by_id["a0"].room <= 3
+
+
+def test_unanswered_calls_lower_the_room_of_an_endpoint_and_answers_raise_it():
+    service_policy = policy(endpoints=1, slots=4)
+    service_policy.pool.set_share(SlotShare())
+    endpoint = service_policy.pool.endpoint_by_id["a0"]
+    for number in range(3):
+        service_policy.pool.start(endpoint, str(number), "lookup", 0.0)
+    service_policy.pool.finish("a0", "2", CallResult.TIMEOUT, 500.0)
+    assert endpoint.room == 2
+    assert service_policy.pool.choose(600.0, idempotent=True) is None
+    service_policy.pool.finish("a0", "1", CallResult.OK, 700.0)
+    assert service_policy.pool.choose(700.0, idempotent=True) is endpoint
+    for number in range(10):
+        run_one(service_policy, f"more-{number}", "a0", 800.0, took_ms=WORK_MS)
+    assert endpoint.room > 3
+
+
+@pytest.mark.parametrize(
+    ("changes", "reason"),
+    [
+        ({"idempotent": False}, "may not run twice"),
+        ({"most_attempts": 1}, "no further attempt"),
+        ({"deadline_ms": 7 * WORK_MS - 1}, "no time for another answer"),
+    ],
+)
+def test_an_answer_is_waited_for_to_the_end_where_giving_up_gains_nothing(changes, reason):
+    service_policy = policy(endpoints=2)
+    service_policy.pool.typical_latency_ms_by_partner["lookup"] = WORK_MS
+    for number in range(100):
+        run_one(service_policy, str(number), "a0", 0.0, took_ms=WORK_MS)
+    tried = frozenset({"a0"})
+    patient = replace(call("1", deadline_ms=10 * WORK_MS), **changes)
+    assert service_policy.answer_patience_ms(patient, "a0", tried, 0.0) is None, reason
+    usual = call("1", deadline_ms=10 * WORK_MS)
+    assert service_policy.answer_patience_ms(usual, "a0", tried, 0.0) == pytest.approx(6 * WORK_MS)
+    unknown = replace(usual, partner="other")
+    assert service_policy.answer_patience_ms(unknown, "a0", tried, 0.0) is None
+
+
+def test_no_answer_is_given_up_without_a_retry_in_the_budget():
+    service_policy = policy(endpoints=2)
+    for number in range(100):
+        run_one(service_policy, str(number), "a0", 0.0, took_ms=WORK_MS)
+    service_policy.retry_budget.limits = RetryLimits(0.0, 0.0, 10_000.0)
+    usual = call("1", deadline_ms=100 * WORK_MS)
+    assert service_policy.answer_patience_ms(usual, "a0", frozenset({"a0"}), 0.0) is None
+
+
 def test_retracted_crash_does_not_quarantine_request():
     quarantine = Quarantine()
     quarantine.record("f", "e1/1", 0.0)
--- a/packages/cassiahaven-entry/cassiahaven_entry/_connection.py
+++ b/packages/cassiahaven-entry/cassiahaven_entry/_connection.py
@@ -78,8 +78,10 @@
         self._expire_at(now_ms() + timeout_ms)
 
     def extend(self, more_ms: float) -> None:
-        """Extend the deadline of the exchange by ``more_ms`` milliseconds."""
+        """Extend the deadline of the exchange, which alone limits each receive from now on."""
         self._expire_at(self._expires_ms + more_ms)
+        if isinstance(self.sock, UpstreamSocket):
+            self.sock.settimeout(None)
 
     def _expire_at(self, at_ms: float) -> None:
         self._expires_ms = at_ms
--- a/packages/cassiahaven-entry/cassiahaven_entry/attempts.py
+++ b/packages/cassiahaven-entry/cassiahaven_entry/attempts.py
@@ -40,6 +40,7 @@
 UNKNOWN_BY_RESULT = {
     CallResult.CONNECTION_LOST: UnknownReason.CONNECTION_LOST,
     CallResult.TIMEOUT: UnknownReason.ANSWER_TIMEOUT,
+    CallResult.UNANSWERED: UnknownReason.ANSWER_TIMEOUT,
 }
 
 
@@ -107,7 +108,7 @@
                 call.note("waited", f"{effect.waited_ms:.1f} ms for a free slot")
             address = self._choose_endpoint(call, task, effect.address, frozenset(tried))
             tried.add(address.endpoint)
-            ended = self._attempt(call, task, address)
+            ended = self._attempt(call, task, address, frozenset(tried))
             result = self._record_result(progress, ended)
             if result is CallResult.OK:
                 return ended
@@ -152,13 +153,16 @@
         return address
 
     def _attempt(
-        self, call: Call, task: ServiceTask, address: EndpointAddress
+        self, call: Call, task: ServiceTask, address: EndpointAddress, tried: frozenset[str]
     ) -> Finished | SendFailed:
         call.note("sent", f"{address.endpoint} in {address.availability_zone}")
         task.policy.pool.mark_sent(address.endpoint, call.call_id)
         ended: Finished | SendFailed | None = None
         try:
-            ended = self._receive(call, task, address, self._send(call, address))
+            patience_ms = task.policy.answer_patience_ms(
+                call.waiting, address.endpoint, tried, now_ms()
+            )
+            ended = self._receive(call, task, address, self._send(call, address, patience_ms))
         finally:
             if not isinstance(ended, Finished) or ended.stream is None:
                 task.finish(call.waiting, address.endpoint, _result(ended))
@@ -169,7 +173,7 @@
             self._quarantine.clear(call.fingerprint)
         return ended
 
-    def _send(self, call: Call, address: EndpointAddress) -> SendResult:
+    def _send(self, call: Call, address: EndpointAddress, patience_ms: float | None) -> SendResult:
         left_ms = call.waiting.deadline_ms - now_ms()
         if left_ms <= 0:
             return SendFailed(CallResult.CANCELLED, "deadline exceeded before sending")
@@ -184,7 +188,7 @@
             call.waiting.idempotent,
             call.request.request_id,
         )
-        return self._transport.send(address, request, left_ms)
+        return self._transport.send(address, request, left_ms, patience_ms=patience_ms)
 
     def _receive(
         self, call: Call, task: ServiceTask, address: EndpointAddress, sent: SendResult
--- a/packages/cassiahaven-entry/cassiahaven_entry/http_transport.py
+++ b/packages/cassiahaven-entry/cassiahaven_entry/http_transport.py
@@ -95,11 +95,17 @@
         self._pool_by_incarnation: dict[tuple[str, str], urllib3.HTTPConnectionPool] = {}
 
     def send(
-        self, address: EndpointAddress, request: UpstreamRequest, timeout_ms: float
+        self,
+        address: EndpointAddress,
+        request: UpstreamRequest,
+        timeout_ms: float,
+        *,
+        patience_ms: float | None = None,
     ) -> SendResult:
         """Send ``request`` once and return the answer, its body not read yet, or the failure."""
         pool = self._pool(address) if request.idempotent else self._single_use_pool(address)
-        timeout_s = timeout_ms / MS_PER_S
+        head_ms = timeout_ms if patience_ms is None else min(timeout_ms, patience_ms)
+        timeout_s = head_ms / MS_PER_S
         timeout = urllib3.Timeout(connect=min(CONNECT_TIMEOUT_S, timeout_s), total=timeout_s)
         try:
             response = pool.urlopen(
@@ -116,10 +122,13 @@
         except (NewConnectionError, ConnectTimeoutError) as error:
             return SendFailed(CallResult.CONNECT_FAILED, str(error))
         except ReadTimeoutError as error:
-            return SendFailed(CallResult.TIMEOUT, str(error))
+            # The connection is closed: whatever it still brings belongs to this call.
+            is_impatient = head_ms < timeout_ms
+            result = CallResult.UNANSWERED if is_impatient else CallResult.TIMEOUT
+            return SendFailed(result, str(error))
         except (HTTPError, OSError) as error:
             return SendFailed(CallResult.CONNECTION_LOST, str(error))
-        return self._answer(request, response)
+        return self._answer(request, response, timeout_ms - head_ms)
 
     def probe(
         self, address: EndpointAddress, path: str, timeout_ms: float
@@ -166,7 +175,9 @@
             if key not in listed:
                 self._pool_by_incarnation.pop(key).close()
 
-    def _answer(self, request: UpstreamRequest, response: urllib3.BaseHTTPResponse) -> SendResult:
+    def _answer(
+        self, request: UpstreamRequest, response: urllib3.BaseHTTPResponse, left_ms: float
+    ) -> SendResult:
         value_by_name = {name.lower(): value for name, value in response.headers.items()}
         signal = self._dialect.read_head(response.status, value_by_name, request.request_id)
         if not signal.is_genuine:
@@ -188,7 +199,7 @@
             if name.lower() not in HOP_BY_HOP
         )
         if response.connection is not None:
-            response.connection.extend(BODY_GRACE_MS)
+            response.connection.extend(left_ms + BODY_GRACE_MS)
         return UpstreamAnswer(response.status, headers, _parts(response), response.close, signal)
 
     def _pool(self, address: EndpointAddress) -> urllib3.HTTPConnectionPool:
--- a/packages/cassiahaven-entry/tests/test_attempts.py
+++ b/packages/cassiahaven-entry/tests/test_attempts.py
@@ -72,7 +72,7 @@
         self.endings = list(endings)
         self.may_have_run = []
 
-    def send(self, address, request, timeout_ms):
+    def send(self, address, request, timeout_ms, *, patience_ms=None):
         ending = self.endings.pop(0)
         self.may_have_run.append(ending.may_have_run)
         return ending.make()
--- a/packages/cassiahaven-entry/tests/test_http_transport.py
+++ b/packages/cassiahaven-entry/tests/test_http_transport.py
@@ -5,6 +5,7 @@
 import subprocess
 import sys
 import threading
+import time
 
 import pytest
 
@@ -183,3 +184,59 @@
         assert transport.is_down(address)
         closing.join()
     assert transport.is_down(address)
+
+
+def send_under_the_hub(port, *, patience_ms, timeout_ms):
+    """Send a call in a process with the eventlet hub; return what came of it."""
+    script = (
+        "import eventlet; eventlet.monkey_patch()\n"
+        "from cassiahaven_core.edge import SendFailed, UpstreamRequest\n"
+        "from cassiahaven_core.pool import EndpointAddress\n"
+        "from cassiahaven_entry.header_dialect import HeaderDialect\n"
+        "from cassiahaven_entry.http_transport import HttpTransport\n"
+        "transport = HttpTransport(HeaderDialect())\n"
+        f"address = EndpointAddress('e', '1', 'z', '127.0.0.1', {port}, 1)\n"
+        "call = UpstreamRequest('GET', '/', (), b'', True)\n"
+        f"sent = transport.send(address, call, {timeout_ms}, patience_ms={patience_ms})\n"
+        "print(sent.result.value if isinstance(sent, SendFailed) else b''.join(sent.body))\n"
+    )
+    command = [sys.executable, "-W", "ignore", "-c", script]
+    done = subprocess.run(command, capture_output=True, text=True, check=False, timeout=30)
+    return done.stdout.strip() or done.stderr
+
+
+@pytest.fixture
+def slow_upstream():
+    """Return a function that serves one connection with parts, each after a pause in seconds."""
+    with socket.create_server(("127.0.0.1", 0)) as listener:
+
+        def start(*parts):
+            def serve():
+                connection, _ = listener.accept()
+                with connection:
+                    connection.recv(65536)
+                    for pause_s, part in parts:
+                        time.sleep(pause_s)
+                        connection.sendall(part)
+                    connection.recv(1)
+
+            threading.Thread(target=serve, daemon=True).start()
+            return listener.getsockname()[1]
+
+        yield start
+
+
+def test_answer_that_does_not_begin_within_the_patience_counts_as_unanswered(slow_upstream):
+    port = slow_upstream((5.0, WHOLE))
+    assert send_under_the_hub(port, patience_ms=200, timeout_ms=4000) == "unanswered"
+
+
+def test_answer_that_does_not_begin_before_the_deadline_is_a_timeout(slow_upstream):
+    port = slow_upstream((5.0, WHOLE))
+    assert send_under_the_hub(port, patience_ms=900, timeout_ms=200) == "timeout"
+
+
+def test_answer_that_began_within_the_patience_may_take_until_the_deadline(slow_upstream):
+    head = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n"
+    port = slow_upstream((0.0, head + b"o"), (1.5, b"k"))
+    assert send_under_the_hub(port, patience_ms=400, timeout_ms=8000) == "b'ok'"
