Open links and read topics as soon as a starting entry knows the members

Links to watchers were chosen once before the members were known and again 500 ms later; topics were looked at every 100 ms.

Both now look every 10 ms until the members are known.

--- a/packages/cassiahaven-core/cassiahaven_core/membership.py
+++ b/packages/cassiahaven-core/cassiahaven_core/membership.py
@@ -55,6 +55,7 @@
 
     Attributes:
         store: Detects outages of the store, from answers to this entry and to its watchers.
+        has_members: Whether the registered entries are known.
     """
 
     __slots__ = (
@@ -65,6 +66,7 @@
         "versions_by_name",
         "draining",
         "store",
+        "has_members",
     )
 
     def __init__(self, own: Member) -> None:
@@ -75,11 +77,13 @@
         self.versions_by_name: dict[str, dict[str, int]] = {}
         self.draining: set[str] = set()
         self.store = StoreOutageDetector()
+        self.has_members = False
 
     def set_members(self, members: Iterable[Member]) -> None:
         """Replace the registered entries and discard the state of those that are gone."""
         self.member_by_name = {member.name: member for member in members}
         self.member_by_name[self.own.name] = self.own
+        self.has_members = True
         self.draining &= self.member_by_name.keys()
         for known in (self.view_by_watcher, self.report_ms_by_name, self.versions_by_name):
             for name in known.keys() - self.member_by_name.keys():
--- a/packages/cassiahaven-entry/cassiahaven_entry/fleet_links.py
+++ b/packages/cassiahaven-entry/cassiahaven_entry/fleet_links.py
@@ -29,6 +29,7 @@
 UNREACHABLE_MS = 3000.0  # an entry restarts within this time
 COALESCE_MS = 100.0  # coalesces bursts of changes; 1/20 of the time a change may take to spread
 REQUEST_TIMEOUT_MS = 400.0
+START_INTERVAL_MS = 10.0  # until the members are known, so that a start takes no longer
 NEAR_WATCHER_HEAD_START_MS = 250.0  # half the report interval; traffic between zones is billed
 MAX_ENCODED_REPLIES = 16
 CLUSTER = "fleet"
@@ -243,7 +244,16 @@
                 link.drop_if_silent()
                 link.report(is_draining)
             self.publish_report()
-            eventlet.sleep(REPORT_INTERVAL_MS / MS_PER_S)
+            self._await_next_report()
+
+    def _await_next_report(self) -> None:
+        """Sleep until the next report, or until the members become known: then links are due."""
+        due_ms = now_ms() + REPORT_INTERVAL_MS
+        while not self._fleet.has_members and now_ms() < due_ms:
+            eventlet.sleep(START_INTERVAL_MS / MS_PER_S)
+            if self._fleet.has_members:
+                return
+        eventlet.sleep(max(0.0, due_ms - now_ms()) / MS_PER_S)
 
     def publish_report(self) -> None:
         """Publish a report to subscribers, coalescing reports that follow each other closely."""
--- a/packages/cassiahaven-entry/cassiahaven_entry/routed_node.py
+++ b/packages/cassiahaven-entry/cassiahaven_entry/routed_node.py
@@ -127,6 +127,7 @@
             is_wanted=self._is_watching,
             on_changes=self.view.apply_changes,
             contact=self.fleet.store,
+            is_starting=lambda: not self.view.has_members,
         )
 
     def _build_calls(self) -> None:
--- a/packages/cassiahaven-entry/cassiahaven_entry/store_feed.py
+++ b/packages/cassiahaven-entry/cassiahaven_entry/store_feed.py
@@ -22,6 +22,7 @@
 STORE_CHECK_INTERVAL_MS = 500.0  # with the 500 ms report interval below the age subscribers accept
 COALESCE_MS = 100.0  # coalesces bursts of changes; each return of a watch costs a store call
 IDLE_INTERVAL_MS = 100.0
+START_INTERVAL_MS = 10.0  # until the members are known, so that a start takes no longer
 ROUNDING_MS = 1.0  # timers may fire slightly early
 
 
@@ -37,6 +38,7 @@
         is_wanted: Returns whether this entry has to watch a topic.
         on_changes: Called with the topic and the changes read.
         contact: Records each request to the store and each response.
+        is_starting: Returns whether it is not known yet which topics this entry watches.
     """
 
     def __init__(
@@ -46,6 +48,7 @@
         is_wanted: Callable[[Topic], bool],
         on_changes: Callable[[Topic, FleetChanges], None],
         contact: StoreOutageDetector,
+        is_starting: Callable[[], bool] = lambda: False,
     ) -> None:
         self.seen_ms = float("-inf")
         self.is_available = True
@@ -53,6 +56,7 @@
         self._is_wanted = is_wanted
         self._on_changes = on_changes
         self._contact = contact
+        self._is_starting = is_starting
         self._watching_tasks: set[greenlet] = set()
 
     @property
@@ -66,7 +70,8 @@
         while True:
             if not self._is_wanted(topic):
                 revision = None
-                eventlet.sleep(IDLE_INTERVAL_MS / MS_PER_S)
+                idle_ms = START_INTERVAL_MS if self._is_starting() else IDLE_INTERVAL_MS
+                eventlet.sleep(idle_ms / MS_PER_S)
                 continue
             if not self.is_available:
                 # ``check`` detects the store's recovery for all topics with one cheap request.
--- a/packages/cassiahaven-entry/tests/test_fleet_links.py
+++ b/packages/cassiahaven-entry/tests/test_fleet_links.py
@@ -2,12 +2,15 @@
 
 import threading
 
+import eventlet
 import pytest
 
 from cassiahaven_core.membership import Fleet, Member
 from cassiahaven_core.peer_message import Encoded, StateNews, StateRequest, WatcherReport, decode
+from cassiahaven_entry.clock import now_ms
 from cassiahaven_entry.fleet_links import (
     NEAR_WATCHER_HEAD_START_MS,
+    REPORT_INTERVAL_MS,
     FleetLinks,
     LinkCallbacks,
     StateRequestPacer,
@@ -90,3 +93,16 @@
         "configuration", prefers_another=True, now_ms=NEAR_WATCHER_HEAD_START_MS
     )
     assert request_pacer.is_due("configuration", prefers_another=True, now_ms=500.0)
+
+
+def test_links_are_opened_as_soon_as_the_members_are_known(links):
+    fleet = links._fleet
+    task = eventlet.spawn(links.run)
+    eventlet.sleep(0.05)
+    assert not links.link_by_name
+    known_ms = now_ms()
+    fleet.set_members([fleet.own, *(member(f"{zone}1") for zone in "bc")])
+    while not links.link_by_name:
+        eventlet.sleep(0.005)
+    task.kill()
+    assert now_ms() - known_ms < REPORT_INTERVAL_MS / 5
--- a/packages/cassiahaven-entry/tests/test_store_feed.py
+++ b/packages/cassiahaven-entry/tests/test_store_feed.py
@@ -9,7 +9,7 @@
 from cassiahaven_core.membership import MAX_STORE_VIEW_AGE_MS
 from cassiahaven_core.store_outage import StoreOutageDetector
 from cassiahaven_entry.fleet_links import REPORT_INTERVAL_MS
-from cassiahaven_entry.store_feed import StoreFeed
+from cassiahaven_entry.store_feed import START_INTERVAL_MS, StoreFeed
 
 SLOW_ANSWER_MS = 100.0  # 25 times the store's usual response time
 
@@ -123,3 +123,24 @@
         store.feed.check()
     assert store.feed.is_available
     assert len(store.ages_ms) == 1
+
+
+def test_topics_are_read_as_soon_as_it_is_known_that_they_are_wanted(clock):
+    members_known_ms = clock() * 1000 + 35.0
+    read_ms = []
+
+    class StartedStore(SilentStore):
+        def read(self, topic):
+            read_ms.append(clock() * 1000)
+            raise EndOfTest
+
+    feed = StoreFeed(
+        StartedStore(),
+        is_wanted=lambda topic: clock() * 1000 >= members_known_ms,
+        on_changes=lambda topic, changes: None,
+        contact=StoreOutageDetector(),
+        is_starting=lambda: clock() * 1000 < members_known_ms,
+    )
+    with pytest.raises(EndOfTest):
+        feed.follow(Topic.ENDPOINTS)
+    assert read_ms[0] - members_known_ms <= START_INTERVAL_MS
