--- a/packages/cassiahaven-standins/cassiahaven_standins/platform_demo.py
+++ b/packages/cassiahaven-standins/cassiahaven_standins/platform_demo.py
@@ -10,10 +10,12 @@
 from pathlib import Path
 
 from cassiahaven_standins.fleet import wait_until
+from cassiahaven_standins.pipelining_caller import PipelinedRequest, PipeliningCaller
 from cassiahaven_standins.platform_fleet import Entry, PlatformFleet, platform_fleet
 
 CALLS = 60
 CALLERS = 6
+BATCHES = 8
 
 
 class Demo:
@@ -43,6 +45,7 @@
         wait_until(first.is_ready, "the killed entry is back")
         self._load("the other entry is stopped", second, lambda: second.signal(signal.SIGTERM))
         wait_until(lambda: second.process.poll() == 0, "the entry exits")
+        self._pipeline("a caller sends downloads and lookups before the first is answered", first)
         failure_count = sum(number for status, number in self._statuses.items() if status != 200)
         print(f"calls by status: {dict(self._statuses)}; run twice: {self._duplicate_runs}")
         return failure_count + self._duplicate_runs
@@ -55,6 +58,22 @@
         self._statuses.update(statuses)
         print(f"{what}: {dict(statuses)}")
 
+    def _pipeline(self, what: str, entry: Entry) -> None:
+        caller = PipeliningCaller(entry.front_port)
+        batch = [
+            PipelinedRequest("GET", f"/{kind}/x/{number}", f"demo-{next(self._numbers)}")
+            for number in range(BATCHES)
+            for kind in ("download", "safe")
+        ]
+        answers = caller.call(batch)
+        caller.close()
+        statuses = Counter(
+            status if item.target.encode() in body else 0
+            for item, (status, body) in zip(batch, answers, strict=True)
+        )
+        self._statuses.update(statuses)
+        print(f"{what}: {dict(statuses)}")
+
     def _call(self, entry: Entry, is_safe: bool) -> int:
         request = f"demo-{next(self._numbers)}"
         method, kind = ("GET", "safe") if is_safe else ("POST", "unsafe")
--- a/packages/cassiahaven-standins/cassiahaven_standins/platform_endpoint.py
+++ b/packages/cassiahaven-standins/cassiahaven_standins/platform_endpoint.py
@@ -9,6 +9,9 @@
 from cassiahaven_standins.quiet_server import QuietServer
 
 MAX_FLOOD_S = 10.0
+DOWNLOAD_PREFIX = "/download/"
+DOWNLOAD_BYTES = 300_000
+MAX_HANG_S = 10.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -32,7 +35,8 @@
     Attributes:
         service_time_s: Time that each request takes.
         fault: ``reset`` runs requests and closes the connection without a response, ``shed``
-            rejects them, ``error`` responds with status 500; empty for no fault.
+            rejects them, ``error`` responds with status 500, ``hang`` never responds to them nor
+            runs them, ``break`` breaks off its responses in the middle; empty for no fault.
         endless_response: Sent in place of responses.
         endless_health_response: Sent in place of health check responses.
         endless_response_durations_s: Duration of each endless response, until its reader closed
@@ -80,6 +84,9 @@
         if state.fault == "shed":
             self._send(503, b"", {"Not-Executed": "1"})
             return
+        if state.fault == "hang":
+            self._hang()
+            return
         state.ran.append((request, time.monotonic(), self.path))
         state.running += 1
         try:
@@ -92,7 +99,13 @@
             return
         status = 500 if state.fault == "error" else 200
         response_headers = {"Request-Id": request, "Response-Signature": f"sig-{request}"}
-        self._send(status, f"{state.service} {self.path} ".encode() + body, response_headers)
+        response_body = f"{state.service} {self.path} ".encode() + body
+        if self.path.startswith(DOWNLOAD_PREFIX):
+            response_body = response_body.ljust(DOWNLOAD_BYTES, b".")
+        if state.fault == "break":
+            self._break_off(response_body, response_headers)
+            return
+        self._send(status, response_body, response_headers)
 
     do_GET = do_POST = do_PUT = do_DELETE = handle_request
 
@@ -124,17 +137,31 @@
             pass
         self.state.endless_response_durations_s.append(time.monotonic() - started_s)
 
+    def _hang(self) -> None:
+        self.close_connection = True
+        self.connection.settimeout(MAX_HANG_S)
+        try:
+            self.connection.recv(1)
+        except OSError:
+            return
+
+    def _break_off(self, body: bytes, headers: dict[str, str]) -> None:
+        self._send(200, body, headers, size=len(body) // 2)
+        self.close_connection = True
+
     def _load(self) -> str:
         return f"{self.state.running},0,8,100"
 
-    def _send(self, status: int, body: bytes, headers: dict[str, str]) -> None:
+    def _send(
+        self, status: int, body: bytes, headers: dict[str, str], *, size: int | None = None
+    ) -> None:
         try:
             self.send_response(status)
             for name, value in headers.items():
                 self.send_header(name, value)
             self.send_header("Content-Length", str(len(body)))
             self.end_headers()
-            self.wfile.write(body)
+            self.wfile.write(body[:size])
         except OSError:
             self.close_connection = True
 
--- a/packages/cassiahaven-standins/cassiahaven_standins/platform_fleet.py
+++ b/packages/cassiahaven-standins/cassiahaven_standins/platform_fleet.py
@@ -166,7 +166,7 @@
     def configure(
         self, service_by_prefix: dict[str, str], *, timeout_ms: int = 2000, target_ms: int = 300
     ) -> int:
-        """Store a configuration with a ``safe`` and an ``unsafe`` route for each prefix."""
+        """Store a configuration with a route of each kind for each prefix."""
         self.version += 3
         columns = [
             *("name", "hostname", "pathPrefix", "kind", "timeout"),
@@ -185,7 +185,7 @@
                 service,
             ]
             for prefix, service in service_by_prefix.items()
-            for kind in ("safe", "unsafe")
+            for kind in ("safe", "unsafe", "download")
         ]
         services = sorted(set(service_by_prefix.values()))
         spec = {
--- a/packages/cassiahaven-standins/cassiahaven_standins/platform_soak.py
+++ b/packages/cassiahaven-standins/cassiahaven_standins/platform_soak.py
@@ -21,10 +21,13 @@
 
 from cassiahaven_standins.fleet import wait_until
 from cassiahaven_standins.link_proxy import LinkProxy
+from cassiahaven_standins.pipelining_caller import PipelinedRequest, PipeliningCaller
 from cassiahaven_standins.platform_fleet import GRACE_MS, Entry, PlatformFleet, platform_fleet
 
 ENTRIES = 3
 CALLERS = 6
+PIPELINING_CALLERS = 3
+LARGEST_BATCH = 5
 SERVICES = ("one", "two")
 ENDPOINTS_PER_SERVICE = 3
 DRAIN_BOUND_S = 2.0
@@ -88,6 +91,10 @@
         self.fleet.configure({"x": "one", "y": "two"})
         self.fleet.start()
         callers = [threading.Thread(target=self._call, args=(n,)) for n in range(CALLERS)]
+        callers += [
+            threading.Thread(target=self._call_in_batches, args=(CALLERS + n,))
+            for n in range(PIPELINING_CALLERS)
+        ]
         for caller in callers:
             caller.start()
         end_s = time.monotonic() + seconds
@@ -109,21 +116,50 @@
         while not self._stop.is_set():
             count += 1
             entry = rng.choice(self.fleet.entries)
-            is_safe = rng.random() < 0.5
-            prefix = rng.choice("xy")
-            request = f"s{self._seed}-{number}-{count}"
-            target = f"/{'safe' if is_safe else 'unsafe'}/{prefix}/{request}"
-            method = "GET" if is_safe else "POST"
+            kind = rng.choice(["safe", "unsafe", "unsafe", "download"])
+            item = _request(kind, rng.choice("xy"), f"s{self._seed}-{number}-{count}")
             sent_s = time.monotonic()
             status, body, _ = self.fleet.call(
-                entry, method, target, request=request, body=b"" if is_safe else request.encode()
+                entry, item.method, item.target, request=item.request, body=item.body
             )
-            ended_s = time.monotonic()
-            sent = SentCall(request, entry.name, is_safe, sent_s, ended_s, status, body, target)
-            with self._lock:
-                self.findings.sent.append(sent)
+            self._record(item, entry, sent_s, (status, body))
             threading.Event().wait(0.02)
 
+    def _call_in_batches(self, number: int) -> None:
+        """Keep one connection to each entry and use it until the entry closes it."""
+        rng = random.Random(f"{self._seed}/{number}")
+        caller_by_entry = {
+            entry.name: PipeliningCaller(entry.front_port) for entry in self.fleet.entries
+        }
+        count = 0
+        while not self._stop.is_set():
+            entry = rng.choice(self.fleet.entries)
+            batch = []
+            for position in range(size := rng.randint(1, LARGEST_BATCH)):
+                count += 1
+                kinds = ["safe", "download"] if position < size - 1 else ["safe", "unsafe"]
+                request = f"s{self._seed}-{number}-{count}"
+                batch.append(_request(rng.choice(kinds), rng.choice("xy"), request))
+            sent_s = time.monotonic()
+            answers = caller_by_entry[entry.name].call(batch)
+            for item, answer in zip(batch, answers, strict=True):
+                self._record(item, entry, sent_s, answer)
+            threading.Event().wait(0.05)
+        for caller in caller_by_entry.values():
+            caller.close()
+
+    def _record(
+        self, item: PipelinedRequest, entry: Entry, sent_s: float, answer: tuple[int, bytes]
+    ) -> None:
+        status, body = answer
+        is_safe = item.method == "GET"
+        ended_s = time.monotonic()
+        sent = SentCall(
+            item.request, entry.name, is_safe, sent_s, ended_s, status, body, item.target
+        )
+        with self._lock:
+            self.findings.sent.append(sent)
+
     def _inject(self) -> None:
         faults = [
             self._kill,
@@ -221,7 +257,7 @@
 
     def _endpoint_fault(self) -> None:
         endpoint = self._random.choice(list(self.fleet.endpoint_by_name.values()))
-        endpoint.state.fault = self._random.choice(["reset", "shed", "error"])
+        endpoint.state.fault = self._random.choice(["reset", "shed", "error", "hang", "break"])
         self._schedule(1.0, lambda: setattr(endpoint.state, "fault", ""))
 
     def _drain(self) -> None:
@@ -321,7 +357,9 @@
             if item.status == 404:
                 self.findings.violations.append(f"route: {item.request} got 404 at {item.entry}")
             if item.status == 200 and item.target.encode() not in item.body:
-                self.findings.violations.append(f"wrong response: {item.request} got {item.body!r}")
+                self.findings.violations.append(
+                    f"wrong response: {item.request} got {item.body[:200]!r}"
+                )
         unknown_requests = runs.keys() - {item.request for item in self.findings.sent}
         self.findings.violations += [
             f"unknown request: {request} ran" for request in sorted(unknown_requests)
@@ -345,6 +383,13 @@
         return max((item for item in fault_times_s if item < at_s), default=float("-inf"))
 
 
+def _request(kind: str, prefix: str, request: str) -> PipelinedRequest:
+    target = f"/{kind}/{prefix}/{request}"
+    if kind == "unsafe":
+        return PipelinedRequest("POST", target, request, request.encode())
+    return PipelinedRequest("GET", target, request)
+
+
 def soak(*, seed: int = 1, seconds: float = 20.0, entries: int = ENTRIES, logs: str = "") -> None:
     """Run the soak with one seed and print its result.
 
--- a/tests/test_platform_path.py
+++ b/tests/test_platform_path.py
@@ -10,6 +10,8 @@
 import pytest
 
 from cassiahaven_standins.fleet import wait_until
+from cassiahaven_standins.pipelining_caller import PipelinedRequest, PipeliningCaller
+from cassiahaven_standins.platform_endpoint import DOWNLOAD_BYTES
 from cassiahaven_standins.platform_fleet import GRACE_MS, platform_fleet
 
 CONFIG_BOUND_S = 2.0
@@ -52,6 +54,66 @@
     assert fleet.call(fleet.entries[0], "GET", "/nowhere/", request="r")[0] == 404
 
 
+def test_downloads_and_lookups_of_one_connection_are_answered_in_order(fleet, request_id):
+    caller = PipeliningCaller(fleet.entries[0].front_port)
+    batch = [
+        PipelinedRequest("GET", f"/{kind}/x/{number}", request_id())
+        for number in range(8)
+        for kind in ("download", "safe")
+    ]
+    answers = caller.call(batch)
+    caller.close()
+    for item, (status, body) in zip(batch, answers, strict=True):
+        assert (status, body.split()[1]) == (200, item.target.encode())
+        is_download = item.target.startswith("/download/")
+        assert len(body) == (DOWNLOAD_BYTES if is_download else len(f"one {item.target} "))
+
+
+def test_download_that_breaks_off_never_looks_whole(fleet, request_id):
+    entry = fleet.entries[0]
+    for endpoint in fleet.endpoint_by_name.values():
+        endpoint.state.fault = "break"
+    for _ in range(5):
+        status, body, _ = fleet.call(entry, "GET", "/download/x/1", request=request_id())
+        assert status != 200
+        assert len(body) < DOWNLOAD_BYTES
+
+
+def test_calls_to_an_endpoint_that_hangs_are_answered_by_another(fleet, request_id):
+    entry = fleet.entries[0]
+    for number in range(150):
+        assert fleet.call(entry, "GET", f"/safe/x/{number}", request=request_id())[0] == 200
+    fleet.endpoint_by_name["i-1"].state.fault = "hang"
+    statuses = [
+        fleet.call(entry, "GET", f"/safe/x/{number}", request=request_id())[0]
+        for number in range(30)
+    ]
+    assert statuses == [200] * 30
+
+
+def test_endpoint_of_an_unsafe_service_comes_back_after_its_failures(fleet, request_id):
+    entry = fleet.entries[0]
+    endpoint = fleet.endpoint_by_name["i-1"]
+
+    def call():
+        return fleet.call(entry, "POST", "/unsafe/x/1", request=request_id(), body=b"o")[0]
+
+    endpoint.state.fault = "reset"
+    wait_until(
+        lambda: call() and entry.events("endpoint_status_changed"), "the endpoint is ejected"
+    )
+    endpoint.state.fault = ""
+    ran = len(endpoint.state.ran)
+    with ThreadPoolExecutor(4) as callers:
+        wait_until(
+            lambda: (
+                set(callers.map(lambda _: call(), range(8))) == {200}
+                and len(endpoint.state.ran) > ran
+            ),
+            "the endpoint serves again",
+        )
+
+
 def test_entries_name_the_same_carrier_for_a_zone(fleet):
     wait_until(
         lambda: all(
