Read answers up to 1 MB whole before they leave, within 32 MB for all

Pattern: downloads of 90 KB and more beside slow readers and endpoints that break off answers. Beyond 64 KB an answer was streamed: a slow reader held a slot of its endpoint, and an answer that broke off reached its caller cut.

AnswerMemory bounds what is held for each and in all; beyond it answers stream as before. The tests on endpoints freed before the caller reads and on large answers that break off fail on the code before.

--- a/packages/cassiahaven-core/cassiahaven_core/answer.py
+++ b/packages/cassiahaven-core/cassiahaven_core/answer.py
@@ -1,9 +1,38 @@
-"""A complete upstream response, kept to replay it to a repeated call."""
+"""Upstream responses that an entry holds in memory."""
 
 from dataclasses import dataclass
 from typing import Any
 
 MAX_KEPT_ANSWER_BYTES = 65_536
+MAX_BUFFERED_ANSWER_BYTES = 1_048_576
+MAX_BUFFERED_BYTES = 33_554_432  # of all answers, a sixth of the smallest VM's memory
+
+
+class AnswerMemory:
+    """Limit the bytes of large answers that an entry holds until their callers have read them.
+
+    An answer that is read whole frees its endpoint however slowly its caller reads, and can still
+    be asked for elsewhere if it breaks off. Beyond the limits, answers are streamed.
+
+    Attributes:
+        held_bytes: Bytes reserved for all answers.
+    """
+
+    __slots__ = ("held_bytes",)
+
+    def __init__(self) -> None:
+        self.held_bytes = 0
+
+    def reserve(self, *, held: int, more: int) -> bool:
+        """Reserve ``more`` bytes for an answer that holds ``held``, if the limits allow it."""
+        if held + more > MAX_BUFFERED_ANSWER_BYTES or self.held_bytes + more > MAX_BUFFERED_BYTES:
+            return False
+        self.held_bytes += more
+        return True
+
+    def release(self, size: int) -> None:
+        """Release the bytes of an answer that was sent or dropped."""
+        self.held_bytes -= size
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/cassiahaven-entry/cassiahaven_entry/attempts.py
+++ b/packages/cassiahaven-entry/cassiahaven_entry/attempts.py
@@ -2,10 +2,11 @@
 
 from collections.abc import Callable
 from dataclasses import dataclass, replace
+from functools import partial
 
 import eventlet
 
-from cassiahaven_core.answer import MAX_KEPT_ANSWER_BYTES, Answer
+from cassiahaven_core.answer import MAX_KEPT_ANSWER_BYTES, Answer, AnswerMemory
 from cassiahaven_core.edge import (
     ResponseSignals,
     SendFailed,
@@ -93,6 +94,7 @@
         self._metrics = metrics
         self._on_drain = on_drain
         self._on_crash = on_crash
+        self._memory = AnswerMemory()
 
     def run(self, call: Call, task: ServiceTask) -> Finished:
         """Run ``call``, with retries, and return its result."""
@@ -197,17 +199,31 @@
         if isinstance(sent, SendFailed):
             return sent
         parts: list[bytes] = []
-        size = 0
+        size = reserved = 0
+        is_kept = False
         try:
             for part in sent.body:
                 parts.append(part)
                 size += len(part)
-                if size > MAX_KEPT_ANSWER_BYTES:
-                    return self._stream(call, task, address, sent, parts)
+                if size <= MAX_KEPT_ANSWER_BYTES:
+                    continue
+                if not self._memory.reserve(held=reserved, more=size - reserved):
+                    is_kept = True
+                    return self._stream(call, task, address, sent, parts, reserved)
+                reserved = size
+            is_kept = True
         except TransferBroken as error:
             return SendFailed(CallResult.CONNECTION_LOST, f"answer broken: {error}")
+        finally:
+            if not is_kept:
+                self._memory.release(reserved)
         outcome = Ran(sent.status, address.endpoint)
-        return Finished(outcome, Answer(sent.status, sent.headers, b"".join(parts)))
+        if not reserved:
+            return Finished(outcome, Answer(sent.status, sent.headers, b"".join(parts)))
+        task.finish(call.waiting, address.endpoint, CallResult.OK)
+        head = Answer(sent.status, sent.headers, b"")
+        release = partial(self._release, reserved)
+        return Finished(outcome, head, AnswerStream(parts, sent, release))
 
     def _stream(
         self,
@@ -216,8 +232,10 @@
         address: EndpointAddress,
         sent: UpstreamAnswer,
         parts: list[bytes],
+        reserved: int,
     ) -> Finished:
         def end(result: CallResult) -> None:
+            self._memory.release(reserved)
             call.note("streamed", result.value)
             task.finish(call.waiting, address.endpoint, result)
 
@@ -225,6 +243,9 @@
         head = Answer(sent.status, sent.headers, b"")
         return Finished(outcome, head, AnswerStream(parts, sent, end))
 
+    def _release(self, reserved: int, _: CallResult) -> None:
+        self._memory.release(reserved)
+
     def _apply_signal(
         self, task: ServiceTask, address: EndpointAddress, signal: ResponseSignals
     ) -> None:
