Let a stopping entry wait until its last answers were read

A process that exits while a caller's further requests lie unread resets the connection, which may destroy the last answer on its way.

--- a/packages/cassiahaven-entry/cassiahaven_entry/caller_connection.py
+++ b/packages/cassiahaven-entry/cassiahaven_entry/caller_connection.py
@@ -352,10 +352,13 @@
 
         A reset may reach the caller before it has read the last answer.
         """
+        self._frontend.lingering += 1
         try:
             self.connection.shutdown(socket.SHUT_WR)
             with eventlet.Timeout(LINGER_S, False):
                 while self.connection.recv(BUFFER_BYTES):
                     pass
         except OSError:
-            pass
+            return  # the caller is gone, and has read what it wanted
+        finally:
+            self._frontend.lingering -= 1
--- a/packages/cassiahaven-entry/cassiahaven_entry/gateway.py
+++ b/packages/cassiahaven-entry/cassiahaven_entry/gateway.py
@@ -38,11 +38,13 @@
 
     Attributes:
         in_flight: Number of requests being answered.
+        lingering: Number of connections whose last answer may still be on its way.
         is_closing: Whether the answer to the last request read closes its connection.
     """
 
     def __init__(self, host: str, port: int, *, dialect: CallerDialect) -> None:
         self.in_flight = 0
+        self.lingering = 0
         self.is_closing = False
         self._dialect = dialect
         self._dropped_headers = HOP_BY_HOP | dialect.dropped_headers | {"content-length"}
@@ -50,6 +52,11 @@
         self._pool = eventlet.GreenPool(LARGEST_CONNECTION_COUNT)
         self._handler: Callable[[CallRequest], CallResponse] | None = None
 
+    @property
+    def is_idle(self) -> bool:
+        """Return whether every answer has reached its caller."""
+        return not self.in_flight and not self.lingering
+
     @property
     def idle_timeout_s(self) -> float:
         """Return the idle timeout of callers' connections in seconds."""
--- a/packages/cassiahaven-entry/cassiahaven_entry/node.py
+++ b/packages/cassiahaven-entry/cassiahaven_entry/node.py
@@ -233,7 +233,7 @@
         self.frontend.stop()
         longest_ms = max(item.timeout_ms for item in self.settings.service_by_name.values())
         deadline_ms = now_ms() + longest_ms
-        while self.frontend.in_flight and now_ms() < deadline_ms:
+        while not self.frontend.is_idle and now_ms() < deadline_ms:
             eventlet.sleep(STOP_POLL_MS / MS_PER_S)
         self._hand_over_explanations()
         log(LogEvent.ENTRY_STOPPED, process=self.process, cut=self.frontend.in_flight)
--- a/packages/cassiahaven-entry/cassiahaven_entry/routed_node.py
+++ b/packages/cassiahaven-entry/cassiahaven_entry/routed_node.py
@@ -210,7 +210,7 @@
         eventlet.sleep(max(0.0, close_at_ms - now_ms()) / MS_PER_S)
         self.frontend.stop()
         deadline_ms = started_ms + self.settings.stop_ms - EXIT_BEFORE_KILL_MS
-        while self.frontend.in_flight and now_ms() < deadline_ms:
+        while not self.frontend.is_idle and now_ms() < deadline_ms:
             eventlet.sleep(STOP_POLL_MS / MS_PER_S)
         log(LogEvent.ENTRY_STOPPED, process=self.process, cut=self.frontend.in_flight)
 
--- a/packages/cassiahaven-entry/tests/test_caller_connection.py
+++ b/packages/cassiahaven-entry/tests/test_caller_connection.py
@@ -321,3 +321,23 @@
     busy.send("/now")
     assert busy.read()[1] == b"/now "
     assert busy.is_closed()
+
+
+def test_a_stopping_entry_is_not_idle_until_its_last_answers_were_read(backend, connect, frontend):
+    frontend.is_closing = True
+    caller = connect()
+    caller.send("/now", "/late")
+    assert caller.read() == (200, b"/now ", True)
+    eventlet.sleep(0.05)
+    assert frontend.in_flight == 0
+    assert not frontend.is_idle
+    caller.socket.close()
+    until(lambda: frontend.is_idle)
+
+
+def test_a_caller_that_never_closes_does_not_hold_up_a_stop(backend, connect, frontend):
+    frontend.is_closing = True
+    caller = connect()
+    caller.send("/now")
+    assert caller.read() == (200, b"/now ", True)
+    until(lambda: frontend.is_idle)
