Tell a caller that asks before sending its body to go on in its turn

Cause: the server's input wrote 100 Continue through the file of a request without a head, which ended the connection as if the request were malformed. Found by reading; the test fails on the code before.

--- a/packages/cassiahaven-entry/cassiahaven_entry/caller_connection.py
+++ b/packages/cassiahaven-entry/cassiahaven_entry/caller_connection.py
@@ -166,24 +166,24 @@
 
     Args:
         connection: The caller's connection.
-        exchange: The request, ``None`` if the request's head could not be read.
+
+    Attributes:
+        exchange: The request, ``None`` until its head has been read.
+        is_error: Whether this is the answer to a request whose head could not be read.
     """
 
     closed = False
 
-    def __init__(self, connection: "CallerProtocol", exchange: Exchange | None = None) -> None:
+    def __init__(self, connection: "CallerProtocol") -> None:
         self._connection = connection
-        self._exchange = exchange
-
-    @property
-    def is_error(self) -> bool:
-        """Return whether an answer was sent for a request whose head could not be read."""
-        return self._exchange is not None
+        self.exchange: Exchange | None = None
+        self.is_error = False
 
     def write(self, data: bytes) -> int:
-        if self._exchange is None:
-            self._exchange = self._connection.add_error_exchange()
-        self._exchange.await_turn()
+        if self.exchange is None:
+            self.exchange = self._connection.add_error_exchange()
+            self.is_error = True
+        self.exchange.await_turn()
         self._connection.connection.sendall(data)
         return len(data)
 
@@ -246,7 +246,7 @@
         number = self.pipeline.add(is_last=bool(self.close_connection))
         protocol = copy.copy(self)
         exchange = Exchange(number, self, protocol)
-        protocol.wfile = _AnswerFile(self, exchange)
+        protocol.wfile.exchange = exchange
         self.environ[EXCHANGE] = exchange
         self._exchange_by_number[number] = exchange
         eventlet.spawn_n(exchange.run)
@@ -310,9 +310,9 @@
                 return True
             if not self._await_room():
                 return False
-            errors = self.wfile = _AnswerFile(self)
+            self.wfile = _AnswerFile(self)
             self.handle_one_request()
-            if errors.is_error:
+            if self.wfile.is_error:
                 return False
             if self.close_connection:
                 self.pipeline.end()
--- a/packages/cassiahaven-entry/tests/test_caller_connection.py
+++ b/packages/cassiahaven-entry/tests/test_caller_connection.py
@@ -182,6 +182,20 @@
     assert [caller.read()[1] for _ in range(3)] == [b"/now abc"] * 3
 
 
+def test_a_caller_that_asks_before_it_sends_a_body_is_told_to_go_on_in_its_turn(backend, connect):
+    caller = connect()
+    caller.send("/a")
+    until(lambda: backend.started == ["/a"])
+    head = "POST /now HTTP/1.1\r\nHost: h\r\nExpect: 100-continue\r\nContent-Length: 4\r\n\r\n"
+    caller.socket.sendall(head.encode())
+    eventlet.sleep(0.05)
+    backend.release("/a")
+    assert caller.read()[1] == b"/a "
+    assert caller.socket.recv(65536).startswith(b"HTTP/1.1 100 Continue\r\n")
+    caller.socket.sendall(b"body")
+    assert caller.read()[1] == b"/now body"
+
+
 def test_a_call_that_must_not_run_twice_waits_until_those_before_it_are_answered(backend, connect):
     backend.waits_for_turn.add("/order")
     caller = connect()
