Pass on no request that was being read when the last answer began, and time writes apart from idling

Cause: a request whose head arrived in two parts around the last answer of a stopping entry was passed on and then cut; the idle timeout of a connection also limited its writes, so a caller that paused while it read was cut early. The request's id in two log lines comes from the dialect now.

--- a/packages/cassiahaven-core/cassiahaven_core/pipeline.py
+++ b/packages/cassiahaven-core/cassiahaven_core/pipeline.py
@@ -30,13 +30,18 @@
         """Return whether every request that was read is answered."""
         return not self._body_bytes_by_number
 
+    @property
+    def is_open(self) -> bool:
+        """Return whether a request may still follow those that were read."""
+        return not self.is_closed and not self._is_ending
+
     def may_read(self, *, is_stopping: bool) -> bool:
         """Return whether to read another request.
 
         Args:
             is_stopping: Whether the entry stops; then the requests that were read are the last.
         """
-        if self.is_closed or self._is_ending:
+        if not self.is_open:
             return False
         if self.is_empty:
             return True
--- a/packages/cassiahaven-entry/cassiahaven_entry/caller_connection.py
+++ b/packages/cassiahaven-entry/cassiahaven_entry/caller_connection.py
@@ -19,7 +19,6 @@
 EXCHANGE = "cassiahaven.exchange"
 BUFFER_BYTES = 16_384
 LINGER_S = 1.0  # callers close within a round trip of the last answer
-REQUEST_ID_HEADER = "HTTP_REQUEST_ID"
 LONGEST_LOGGED_TARGET = 200
 
 
@@ -46,7 +45,9 @@
     def readinto(self, buffer: Any) -> int:
         while True:
             try:
-                return self._protocol.connection.recv_into(buffer)
+                # The socket's own timeout also limits writes, which are not idle.
+                with eventlet.Timeout(self._protocol.idle_timeout_s, TimeoutError("idle")):
+                    return self._protocol.connection.recv_into(buffer)
             except TimeoutError:
                 if not self._protocol.is_in_use():
                     raise
@@ -87,12 +88,8 @@
     def run(self) -> None:
         """Run the request and send its answer when it is due."""
         if self._left:
-            environ = self._protocol.environ
-            log(
-                LogEvent.CALLER_LEFT_EARLY,
-                request=environ.get(REQUEST_ID_HEADER),
-                target=environ[TARGET][:LONGEST_LOGGED_TARGET],
-            )
+            target = self._protocol.environ[TARGET][:LONGEST_LOGGED_TARGET]
+            log(LogEvent.CALLER_LEFT_EARLY, request=self._request_id(), target=target)
             return
         self._task = getcurrent()
         try:
@@ -101,11 +98,7 @@
             self._protocol.close_connection = True
         except OSError as error:
             self._protocol.close_connection = True
-            log(
-                LogEvent.ANSWER_NOT_SENT,
-                request=self._protocol.environ.get(REQUEST_ID_HEADER),
-                error=repr(error),
-            )
+            log(LogEvent.ANSWER_NOT_SENT, request=self._request_id(), error=repr(error))
         finally:
             self._task = None
             self.record_body(0)
@@ -154,6 +147,9 @@
         if self._task is not None:
             get_hub().schedule_call_global(0, self._raise_caller_left)
 
+    def _request_id(self) -> str | None:
+        return self._connection.dialect.request_id(self._protocol.environ)
+
     def _raise_caller_left(self) -> None:
         if self._task is not None and not self._task.dead:
             # Keeps the server from reading on to the end of the request's body.
@@ -202,6 +198,10 @@
 
     One task reads the requests; each request runs in a task of its own. The reading task also
     notices that the caller leaves, and cancels what still runs for it.
+
+    Attributes:
+        dialect: Protocol that the caller speaks.
+        pipeline: Requests that have been read and not answered yet.
     """
 
     def setup(self) -> None:
@@ -211,15 +211,21 @@
         self.pipeline = Pipeline()
         # ``server.app`` is a bound method of the frontend, so ``__self__`` is the frontend.
         self._frontend = self.server.app.__self__
+        self.dialect = self._frontend.dialect
         self._exchange_by_number: dict[int, Exchange] = {}
         self._reader: greenlet | None = None
         self._room: Event | None = None
         self._used_ms = now_ms()
 
+    @property
+    def idle_timeout_s(self) -> float:
+        """Return the time without a request after which the connection is closed, seconds."""
+        return self._frontend.idle_timeout_s
+
     def is_in_use(self) -> bool:
         """Return whether an answer is due, or was sent within the idle timeout."""
-        idle_ms = self._frontend.idle_timeout_s * MS_PER_S
-        return not self.pipeline.is_empty or now_ms() - self._used_ms < idle_ms
+        is_recent = now_ms() - self._used_ms < self.idle_timeout_s * MS_PER_S
+        return not self.pipeline.is_empty or is_recent
 
     def handle(self) -> None:
         """Read and start requests until the connection ends."""
@@ -241,7 +247,9 @@
 
     def handle_one_response(self) -> None:
         """Start the request that has just been read."""
-        if self.pipeline.is_closed:
+        if not self.pipeline.is_open:
+            # An answer that closes the connection was begun while this request was being read.
+            self.close_connection = True
             return
         number = self.pipeline.add(is_last=bool(self.close_connection))
         protocol = copy.copy(self)
@@ -300,7 +308,6 @@
     def _read_requests(self) -> bool:
         """Read requests until the connection ends; return whether the caller ended it."""
         while True:
-            self.connection.settimeout(self._frontend.idle_timeout_s)
             try:
                 if not self.rfile.peek(1):
                     return True
@@ -359,6 +366,6 @@
                 while self.connection.recv(BUFFER_BYTES):
                     pass
         except OSError:
-            return  # the caller is gone, and has read what it wanted
+            return  # the caller has closed the connection
         finally:
             self._frontend.lingering -= 1
--- a/packages/cassiahaven-entry/cassiahaven_entry/caller_dialect.py
+++ b/packages/cassiahaven-entry/cassiahaven_entry/caller_dialect.py
@@ -50,6 +50,10 @@
     def respond_locally(self, environ: Environ) -> CallResponse | None:
         """Return the answer to a request to the entry itself, ``None`` if it is a call."""
 
+    def request_id(self, environ: Environ) -> str | None:
+        """Return the id that the caller gave to a request, ``None`` without one."""
+        return None
+
     @abstractmethod
     def read_head(self, environ: Environ) -> CallHead:
         """Parse the head of a request.
--- a/packages/cassiahaven-entry/cassiahaven_entry/gateway.py
+++ b/packages/cassiahaven-entry/cassiahaven_entry/gateway.py
@@ -37,6 +37,7 @@
         dialect: Protocol that callers speak.
 
     Attributes:
+        dialect: Protocol that callers speak.
         in_flight: Number of requests being answered.
         lingering: Number of connections whose last answer may still be on its way.
         is_closing: Whether the answer to the last request read closes its connection.
@@ -46,7 +47,7 @@
         self.in_flight = 0
         self.lingering = 0
         self.is_closing = False
-        self._dialect = dialect
+        self.dialect = dialect
         self._dropped_headers = HOP_BY_HOP | dialect.dropped_headers | {"content-length"}
         self._socket = eventlet.listen((host, port), backlog=BACKLOG, reuse_port=False)
         self._pool = eventlet.GreenPool(LARGEST_CONNECTION_COUNT)
@@ -60,7 +61,7 @@
     @property
     def idle_timeout_s(self) -> float:
         """Return the idle timeout of callers' connections in seconds."""
-        return self._dialect.idle_timeout_ms / MS_PER_S
+        return self.dialect.idle_timeout_ms / MS_PER_S
 
     def serve(self, handler: Callable[[CallRequest], CallResponse]) -> None:
         """Serve until ``stop`` is called."""
@@ -92,12 +93,12 @@
         return _ResponseBody(response, self, environ[EXCHANGE])
 
     def _respond(self, environ: Environ) -> CallResponse:
-        direct = self._dialect.respond_locally(environ)
+        direct = self.dialect.respond_locally(environ)
         if direct is not None:
             return direct
         head: CallHead | None = None
         try:
-            head = self._dialect.read_head(environ)
+            head = self.dialect.read_head(environ)
             request = self._read(environ, head)
         except RequestRejected as error:
             log(
@@ -108,7 +109,7 @@
             )
             request_id = head.request_id if head is not None else error.request_id
             outcome = NotRun(error.reason)
-            return self._dialect.local_response(error.service, outcome, request_id=request_id)
+            return self.dialect.local_response(error.service, outcome, request_id=request_id)
         environ[EXCHANGE].record_body(len(request.body))
         return self._handler(request)
 
--- a/packages/cassiahaven-entry/tests/test_caller_connection.py
+++ b/packages/cassiahaven-entry/tests/test_caller_connection.py
@@ -305,6 +305,25 @@
     assert "/late" not in backend.started
 
 
+def test_a_request_read_while_the_last_answer_is_sent_is_not_passed_on(backend, connect, frontend):
+    backend.body_by_target["/a"] = [b"x" * 20_000_000]
+    caller = connect()
+    caller.send("/a")
+    until(lambda: backend.started == ["/a"])
+    caller.socket.sendall(b"GET /late HTTP/1.1\r\nHo")
+    eventlet.sleep(0.05)
+    frontend.is_closing = True
+    backend.release("/a")
+    eventlet.sleep(0.1)
+    caller.socket.sendall(b"st: h\r\n\r\n")
+    eventlet.sleep(0.1)
+    assert "/late" not in backend.started
+    status, body, closes = caller.read()
+    assert (status, len(body), closes) == (200, 20_000_000, True)
+    assert caller.is_closed()
+    assert backend.started == ["/a"]
+
+
 def test_a_stop_lets_an_idle_connection_ask_once_more(backend, connect, frontend):
     caller = connect()
     caller.send("/now")
@@ -355,3 +374,11 @@
     caller.send("/now")
     assert caller.read() == (200, b"/now ", True)
     until(lambda: frontend.is_idle)
+
+
+def test_a_caller_that_pauses_in_an_answer_longer_than_it_may_idle_gets_all_of_it(backend, connect):
+    backend.body_by_target["/now"] = [b"x" * 20_000_000]
+    caller = connect()
+    caller.send("/now")
+    eventlet.sleep(2 * EchoDialect.idle_timeout_ms / 1000)
+    assert len(caller.read()[1]) == 20_000_000
