--- a/packages/cassiahaven-core/cassiahaven_core/pool.py
+++ b/packages/cassiahaven-core/cassiahaven_core/pool.py
@@ -402,7 +402,7 @@
         started = endpoint.in_flight_by_call_id.pop(call_id, None)
         if started is None:
             return
-        if result in UNANSWERED_RESULTS:
+        if result in UNANSWERED_RESULTS and self._is_unexplained(endpoint, started, now_ms):
             endpoint.room = max(1.0, min(endpoint.room, float(endpoint.in_flight)))
         if result is CallResult.OK:
             self._record_success(endpoint, started, now_ms)
@@ -545,6 +545,14 @@
             endpoint.ejections = 0
             self.handle(name, EndpointEvent.WARMED, "warmed up", now_ms)
 
+    def _is_unexplained(self, endpoint: Endpoint, started: InFlightCall, now_ms: float) -> bool:
+        """Return whether an unanswered call waited longer than its work can take.
+
+        A short deadline may pass while the endpoint works on the call, which then had its room.
+        """
+        bound_ms = self.latency_bound_ms(started.partner, endpoint.address.endpoint, now_ms)
+        return bound_ms is not None and now_ms - started.at_ms >= bound_ms
+
     def _record_failure(self, endpoint: Endpoint, result: CallResult, now_ms: float) -> None:
         endpoint.consecutive_failures += 1
         endpoint.failed_ms = now_ms
