--- a/packages/cassiahaven-core/cassiahaven_core/pool.py
+++ b/packages/cassiahaven-core/cassiahaven_core/pool.py
@@ -69,7 +69,6 @@
         CallResult.UNANSWERED,
     }
 )
-UNANSWERED_RESULTS = frozenset({CallResult.TIMEOUT, CallResult.UNANSWERED})
 
 
 @dataclass(frozen=True, slots=True)
@@ -402,7 +401,9 @@
         started = endpoint.in_flight_by_call_id.pop(call_id, None)
         if started is None:
             return
-        if result in UNANSWERED_RESULTS and self._is_unexplained(endpoint, started, now_ms):
+        if result is CallResult.UNANSWERED or (
+            result is CallResult.TIMEOUT and self._is_unexplained(endpoint, started, now_ms)
+        ):
             endpoint.room = max(1.0, min(endpoint.room, float(endpoint.in_flight)))
         if result is CallResult.OK:
             self._record_success(endpoint, started, now_ms)
--- a/packages/cassiahaven-core/tests/test_worst_load.py
+++ b/packages/cassiahaven-core/tests/test_worst_load.py
@@ -18,7 +18,6 @@
     LoadReport,
     Pool,
     ProbeFailed,
-    SlotShare,
 )
 from cassiahaven_core.quarantine import Quarantine
 from cassiahaven_core.reason import RefusalReason
