Check that only watchers read the store once entries are linked, and that it stays so

Entries of that test started within 10 ms of each other, each saw only itself among the members, and the three changes fell into the 0.4 s before they were linked (they are ready sooner since links and topics no longer wait); the logs of passing runs show the changes in the same span. The test now changes the configuration until only watchers read the store, then twice more, and the same entries must still read it: an entry that goes on watching fails it.

--- a/tests/test_platform_path.py
+++ b/tests/test_platform_path.py
@@ -5,7 +5,7 @@
 import threading
 import time
 from concurrent.futures import ThreadPoolExecutor
-from itertools import count
+from itertools import count, cycle
 
 import pytest
 
@@ -214,15 +214,22 @@
         fleet.add_endpoint("i-2", "two")
         fleet.configure({"x": "one"})
         fleet.start()
-        # An entry that knows no others when it starts watches the store until its first response.
-        for service in ("two", "one", "two"):
-            fleet.configure({"x": service})
+        services = cycle(("two", "one"))
+
+        def change():
+            """Change the configuration; return each entry's source of it."""
+            fleet.configure({"x": next(services)})
             for entry in fleet.entries:
                 wait_until(
                     lambda entry=entry: _version(entry) == fleet.version, "the version is in force"
                 )
-        sources = [entry.events("configuration_in_force")[-1]["source"] for entry in fleet.entries]
-        assert set(sources) == {"peer", "store"}
+            return [entry.events("configuration_in_force")[-1]["source"] for entry in fleet.entries]
+
+        # Entries that know no others when they start watch the store until they are linked.
+        wait_until(lambda: set(change()) == {"peer", "store"}, "only watchers read the store")
+        settled = change()
+        assert set(settled) == {"peer", "store"}
+        assert change() == settled
 
 
 def _version(entry):
