--- a/review/standins/review_platform.py
+++ b/review/standins/review_platform.py
@@ -37,6 +37,7 @@
 DIRECTORY_TIMEOUT_S = 1.0
 CONNECT_TIMEOUT_S = 1.0
 MSG_PEEK = 2
+MOST_KEPT_BODY_BYTES = 10_000
 LISTENING_PORTS = (20_000, 32_000)
 HELD, BROKEN, NOT_RUN = 0, 1, 2
 
@@ -269,6 +270,7 @@
     at_s: float
     endpoint: str
     service: str
+    body: bytes = b""
 
 
 class Endpoint:
@@ -401,7 +403,8 @@
         at_s = endpoint.store.record.add(
             "run", request=request, endpoint=endpoint.name, service=endpoint.service
         )
-        endpoint.runs.append(Run(request, at_s, endpoint.name, endpoint.service))
+        kept = bytes(body[:MOST_KEPT_BODY_BYTES])
+        endpoint.runs.append(Run(request, at_s, endpoint.name, endpoint.service, kept))
         try:
             is_finished = self._work()
         finally:
