Send a watch of the store again when its answer is lost

Cause: a watch whose answer is lost waits on a live, silent connection for up to 22 s. The check of the store uses another connection, so the store counted as available and the entry's view as fresh.

The store is not declared unavailable, which would have stopped the other watches until the next check.

Ruled out: the links between entries; all watchers had lost their answers. A shorter check would not have helped, as a staleOk read may be seconds old and says nothing of the watches. The paused clock's fixture moves to the root, since a test of the adapter needs it.

--- a/conftest.py
+++ b/conftest.py
@@ -1,5 +1,6 @@
-"""Pytest hooks that deselect the tests listed in KNOWN-RED.txt and print them."""
+"""The clock that tests control, and hooks that deselect and print the tests of KNOWN-RED.txt."""
 
+from collections.abc import Iterator
 from pathlib import Path
 
 import pytest
@@ -8,6 +9,33 @@
 TEST_FIELD = "test:"
 
 
+class PausedClock:
+    """Clock that moves only when a test or a sleeping task advances it."""
+
+    def __init__(self) -> None:
+        self.now_s = 1000.0
+
+    def __call__(self) -> float:
+        """Return the time in seconds."""
+        return self.now_s
+
+    def advance_ms(self, passed_ms: float) -> None:
+        """Move the clock forward."""
+        self.now_s += passed_ms / 1000
+
+
+@pytest.fixture
+def clock(monkeypatch: pytest.MonkeyPatch) -> Iterator[PausedClock]:
+    """Replace the clock of eventlet's hub, and its sleep by advancing that clock."""
+    import eventlet
+    from eventlet.hubs import get_hub
+
+    paused = PausedClock()
+    monkeypatch.setattr(get_hub(), "clock", paused)
+    monkeypatch.setattr(eventlet, "sleep", lambda seconds: paused.advance_ms(seconds * 1000))
+    return paused
+
+
 def known_red() -> list[str]:
     """Return the node ids of the listed tests."""
     if not KNOWN_RED.exists():
--- a/packages/cassiahaven-core/cassiahaven_core/edge.py
+++ b/packages/cassiahaven-core/cassiahaven_core/edge.py
@@ -112,6 +112,10 @@
     """The store no longer has all changes since the requested revision."""
 
 
+class WatchUnanswered(Exception):
+    """A watch was not answered in time; its answer may be lost although the store is available."""
+
+
 class FleetStore(VersionedStore):
     """The store of a fleet's configuration, endpoints, members and tables."""
 
@@ -128,7 +132,8 @@
         """Long-poll for changes after ``revision``.
 
         Raises:
-            StoreUnavailable: The store gave no answer.
+            StoreUnavailable: The store could not be reached, or its answer cannot be read.
+            WatchUnanswered: The wait is long over, and no answer has arrived.
             HistoryGone: Changes are missing; the whole topic must be read again.
         """
 
--- a/packages/cassiahaven-entry/cassiahaven_entry/store_feed.py
+++ b/packages/cassiahaven-entry/cassiahaven_entry/store_feed.py
@@ -13,12 +13,18 @@
     HistoryGone,
     StoreUnavailable,
     Topic,
+    WatchUnanswered,
 )
 from cassiahaven_core.store_outage import StoreOutageDetector
 from cassiahaven_entry.clock import MS_PER_S, now_ms
 from cassiahaven_entry.event import LogEvent, log
 
-WATCH_WAIT_MS = 20_000  # each return costs a store call; dead watches are found by ``check``
+# The answer to a watch may be lost while the store answers everything else, so only the end of the
+# wait bounds how long its changes stay unknown. Changes of these topics take effect within 2 s, and
+# 3 s after a disturbance at the latest; each return of a watch costs a store call.
+PROMPT_WATCH_WAIT_MS = 1500
+WATCH_WAIT_MS = 5000  # members are also known from their links, and tables have no time limit
+PROMPT_TOPICS = frozenset({Topic.CONFIGURATION, Topic.ENDPOINTS})
 STORE_CHECK_INTERVAL_MS = 500.0  # with the 500 ms report interval below the age subscribers accept
 COALESCE_MS = 100.0  # coalesces bursts of changes; each return of a watch costs a store call
 IDLE_INTERVAL_MS = 100.0
@@ -81,6 +87,9 @@
                 changes = self._next(topic, revision)
             except WatchRestarted:
                 continue
+            except WatchUnanswered as error:
+                log(LogEvent.STORE_WATCH_UNANSWERED, topic=topic.value, detail=str(error))
+                continue
             except HistoryGone:
                 log(LogEvent.STORE_HISTORY_GONE, topic=topic.value, revision=revision)
                 revision = None
@@ -98,7 +107,7 @@
     def check(self) -> None:
         """Check regularly that the store responds, until the process ends.
 
-        A waiting watch cannot be told apart from one whose connection is dead.
+        A response says nothing about the watches: their connections may be dead nevertheless.
         """
         checked_ms = float("-inf")
         while True:
@@ -140,7 +149,8 @@
         task = getcurrent()
         self._watching_tasks.add(task)
         try:
-            return self._store.watch(topic, revision=revision, wait_ms=WATCH_WAIT_MS)
+            wait_ms = PROMPT_WATCH_WAIT_MS if topic in PROMPT_TOPICS else WATCH_WAIT_MS
+            return self._store.watch(topic, revision=revision, wait_ms=wait_ms)
         finally:
             self._watching_tasks.discard(task)
 
