Read the changes made while a list of the store was read page by page

Cause: the pages of a list were joined and labelled with the revision of the last page. The watch goes on from there, so a change to an object of an earlier page, between the two answers, was in neither.

Tried first: the revision of the first page.

--- a/packages/cassiahaven-core/cassiahaven_core/edge.py
+++ b/packages/cassiahaven-core/cassiahaven_core/edge.py
@@ -121,10 +121,11 @@
 
     @abstractmethod
     def read(self, topic: Topic) -> FleetChanges:
-        """Return a snapshot of a topic.
+        """Return a snapshot of a topic, exactly as it is at the snapshot's revision.
 
         Raises:
             StoreUnavailable: The store gave no answer.
+            HistoryGone: The topic changed while it was read; it must be read again.
         """
 
     @abstractmethod
--- a/packages/cassiahaven-standins/cassiahaven_standins/platform_store.py
+++ b/packages/cassiahaven-standins/cassiahaven_standins/platform_store.py
@@ -4,6 +4,7 @@
 import threading
 import time
 from collections import deque
+from collections.abc import Callable
 from http.server import BaseHTTPRequestHandler
 from typing import Any
 from urllib.parse import parse_qs, urlsplit
@@ -22,6 +23,9 @@
         is_down: Whether every request gets a 503.
         refused_hosts: Client IP addresses whose requests get a 503.
         is_silent: Whether requests get no response until it is cleared.
+        page_items: Number of objects on a page of a list.
+        before_page: Called with the kind and the name after which a page starts, before the page
+            is read.
         call_count: Requests so far, including refused ones.
     """
 
@@ -33,6 +37,8 @@
         self.compacted_revision = 0  # watches from an earlier revision get a 410
         self.is_down = False
         self.is_silent = False
+        self.page_items = 500
+        self.before_page: Callable[[str, str], None] = lambda kind, after: None
         self.refused_hosts: set[str] = set()
         self.call_count = 0
 
@@ -63,11 +69,17 @@
             self.compacted_revision = self.revision
             self.history.clear()
 
-    def items(self, kind: str) -> tuple[list[dict[str, Any]], int]:
-        """Return all objects of a kind and the store's revision."""
+    def page(self, kind: str, after: str) -> dict[str, Any]:
+        """Return the page of a list that starts after the name ``after``."""
+        self.before_page(kind, after)
         with self.lock:
-            found = [item for (other, _), item in self.object_by_key.items() if other == kind]
-            return found, self.revision
+            names = sorted(name for other, name in self.object_by_key if other == kind)
+            left = [name for name in names if name > after]
+            return {
+                "items": [self.object_by_key[kind, name] for name in left[: self.page_items]],
+                "more": len(left) > self.page_items,
+                "storeRevision": self.revision,
+            }
 
     def events(self, kind: str, revision: int) -> tuple[list[dict[str, Any]] | None, int]:
         """Return the changes after ``revision`` and the store's revision.
@@ -99,8 +111,7 @@
             stored = self.state.object_by_key.get((kind, name))
             self._send(200 if stored else 404, stored)
         else:
-            items, revision = self.state.items(kind)
-            self._send(200, {"items": items, "more": False, "storeRevision": revision})
+            self._send(200, self.state.page(kind, query.get("after", "")))
 
     def do_POST(self) -> None:
         kind, _, _ = self._parse_path()
--- a/tests/test_platform_store.py
+++ b/tests/test_platform_store.py
@@ -1,4 +1,4 @@
-"""The platform's store as the entry's feed follows it, on a clock that the test controls."""
+"""The client of the platform's store: lost answers, and changes while a list is read."""
 
 import json
 from urllib.parse import parse_qs, urlsplit
@@ -6,12 +6,13 @@
 import pytest
 import urllib3
 
-from cassiahaven_core.edge import Topic
+from cassiahaven_core.edge import HistoryGone, Topic
 from cassiahaven_core.routed_settings import SocketAddress
 from cassiahaven_core.store_outage import StoreOutageDetector
 from cassiahaven_entry.metrics import Metrics
 from cassiahaven_entry.store_feed import StoreFeed
 from cassiahaven_platform.store import PlatformStore
+from cassiahaven_standins.platform_store import PlatformStore as StoreStandin
 
 CONTACT_MS = 3000.0  # after a disturbance of the store, entries have to keep every time limit
 SLOWEST_ANSWER_MS = 240.0  # the store's usual 4 ms, 60 times slower
@@ -48,6 +49,33 @@
     return PlatformStore(SocketAddress("127.0.0.1", 1), "edge-a", Metrics())
 
 
+@pytest.fixture
+def standin():
+    server = StoreStandin()
+    yield server
+    server.close()
+
+
+@pytest.fixture
+def store_of_standin(standin):
+    host, _, port = standin.address.partition(":")
+    return PlatformStore(SocketAddress(host, int(port)), "edge-a", Metrics())
+
+
+def registration(state="ready"):
+    return {
+        "service": "orders",
+        "address": "127.0.0.1:9",
+        "zone": "a",
+        "version": "v1",
+        "slots": 3,
+        "state": state,
+        "coldRemaining": "0ms",
+        "sequence": 1,
+        "born": 1_790_000_000_000,
+    }
+
+
 @pytest.mark.parametrize("topic", [Topic.CONFIGURATION, Topic.ENDPOINTS])
 def test_lost_answer_to_a_watch_hides_a_change_no_longer_than_contact(clock, platform_store, topic):
     # A lost answer alone must not leave an old configuration or an endpoint that drains in use.
@@ -67,3 +95,66 @@
     with pytest.raises(ChangeSeen):
         feed.follow(topic)
     assert (clock() - http.lost_at_s) * 1000 <= CONTACT_MS
+
+
+def drain_first(state):
+    state.put("servers", "i-1", registration("draining"))
+
+
+def remove_first(state):
+    state.delete("servers", "i-1")
+
+
+def drain_and_add(state):
+    drain_first(state)
+    state.put("servers", "i-0", registration())
+    state.put("servers", "i-3", registration("draining"))
+
+
+def drain_last(state):
+    state.put("servers", "i-3", registration("draining"))
+
+
+@pytest.mark.parametrize("read_name", ["i-1", "i-2"])
+@pytest.mark.parametrize("change", [drain_first, remove_first, drain_last, drain_and_add])
+def test_change_between_two_pages_of_a_list_is_not_lost(
+    standin, store_of_standin, change, read_name
+):
+    # An endpoint of a page already read drains, and the entry would send to it until it ends.
+    state = standin.state
+    state.page_items = 1
+    for number in (1, 2, 3):
+        state.put("servers", f"i-{number}", registration())
+
+    def change_once(kind, after):
+        if after == read_name:
+            state.before_page = lambda kind, after: None
+            change(state)
+
+    state.before_page = change_once
+    listed = store_of_standin.read(Topic.ENDPOINTS)
+    assert listed.revision == state.revision
+    stored = {name: item["spec"]["state"] for (_, name), item in state.object_by_key.items()}
+    assert {
+        item.name: "draining" if item.item.is_draining else "ready" for item in listed.changes
+    } == stored
+    # A topic that did not change while it was read needs no further call.
+    calls = state.call_count
+    store_of_standin.read(Topic.ENDPOINTS)
+    assert state.call_count == calls + len(stored)
+
+
+def test_list_is_read_again_if_the_changes_between_its_pages_are_unknown(standin, store_of_standin):
+    state = standin.state
+    state.page_items = 1
+    for number in (1, 2):
+        state.put("servers", f"i-{number}", registration())
+
+    def change_and_forget(kind, after):
+        if after:
+            drain_first(state)
+            state.drop_watch_history()
+
+    state.before_page = change_and_forget
+    with pytest.raises(HistoryGone):
+        store_of_standin.read(Topic.ENDPOINTS)
