Report an answer whose connection ends within its head or framing as broken

Cause: Python's HTTP client takes the end of the connection for the end of the head, of a chunk's size line and of the trailers. A head that is cut behind the signature and before the length gives an answer without a length, whose body has ended already; the entry passes it on with a length of 0.

Evidence: an endpoint that sends each framing of HTTP and ends the connection after each byte, by close and by reset.

Why it works: the end of a response's connection is an error unless the response has neither length nor chunks and its head is complete. No other place can be reached by a cut.

Not shown: that the users' endpoints cut their answers there; their record leaves the figures out.

The soak compares whole bodies now, where it looked for the target in them before. Its own thread spoils answers, so that seeds draw the same other faults as before.

--- a/packages/cassiahaven-entry/cassiahaven_entry/_connection.py
+++ b/packages/cassiahaven-entry/cassiahaven_entry/_connection.py
@@ -1,8 +1,10 @@
-"""Connections to upstreams that detect closes and resets and enforce a deadline."""
+"""Connections that detect truncated answers and, to upstreams, enforce a deadline."""
 
 import errno
+import io
 import socket
 from collections.abc import Callable
+from http.client import HTTPResponse
 from typing import Any
 
 import eventlet
@@ -15,6 +17,55 @@
 SHORTEST_TIMEOUT_S = 0.001  # 0 would make the socket non-blocking
 
 
+class _AnswerBytes(io.RawIOBase):
+    """Bytes of an answer; raises if the connection ends before the answer does.
+
+    Attributes:
+        may_end: Whether the end of the connection is the end of the answer.
+    """
+
+    def __init__(self, raw: io.RawIOBase) -> None:
+        self.may_end = False
+        self._raw = raw
+
+    def readable(self) -> bool:
+        return True
+
+    def readinto(self, buffer: Any) -> int | None:
+        count = self._raw.readinto(buffer)
+        if count == 0 and len(buffer) and not self.may_end:
+            raise ConnectionResetError(errno.ECONNRESET, "the connection ended within an answer")
+        return count
+
+    def close(self) -> None:
+        self._raw.close()
+        super().close()
+
+
+class WholeResponse(HTTPResponse):
+    """Response whose connection may end only where its framing says that it ends.
+
+    The library takes the end of the connection for the end of the headers, of a chunk's size and
+    of the trailers, so an answer that is cut there would look complete.
+    """
+
+    def __init__(self, sock: socket.socket, *args: Any, **options: Any) -> None:
+        super().__init__(sock, *args, **options)
+        self._bytes = _AnswerBytes(self.fp.detach())
+        self.fp = io.BufferedReader(self._bytes)
+
+    def begin(self) -> None:
+        """Read the head of the response."""
+        super().begin()
+        self._bytes.may_end = self.length is None and not self.chunked
+
+
+class WholeResponseConnection(HTTPConnection):
+    """Connection that reports truncated answers."""
+
+    response_class = WholeResponse
+
+
 class UpstreamSocket(GreenSocket):
     """Raise if the connection was reset or the exchange exceeds its deadline.
 
@@ -68,7 +119,7 @@
             eventlet.sleep(0)
 
 
-class PeekingConnection(HTTPConnection):
+class PeekingConnection(WholeResponseConnection):
     """Check for a closed connection without yielding to the hub, and enforce a deadline."""
 
     _expires_ms = float("inf")
--- a/packages/cassiahaven-standins/cassiahaven_standins/platform_endpoint.py
+++ b/packages/cassiahaven-standins/cassiahaven_standins/platform_endpoint.py
@@ -1,17 +1,21 @@
 """Stand-in for an endpoint on the platform that records the requests it ran."""
 
+import random
+import socket
 import threading
 import time
 from dataclasses import dataclass
 from http.server import BaseHTTPRequestHandler
 from typing import Any
 
+from cassiahaven_standins.answer_framing import FRAMING_BY_NAME, NO_LINGER, LengthFraming
 from cassiahaven_standins.quiet_server import QuietServer
 
 MAX_FLOOD_S = 10.0
 DOWNLOAD_PREFIX = "/download/"
 DOWNLOAD_BYTES = 300_000
 MAX_HANG_S = 10.0
+SECOND_ANSWER_DELAY_S = (0.005, 0.3)  # also after the connection is in use again
 
 
 @dataclass(frozen=True, slots=True)
@@ -36,7 +40,10 @@
         service_time_s: Time that each request takes.
         fault: ``reset`` runs requests and closes the connection without a response, ``shed``
             rejects them, ``error`` responds with status 500, ``hang`` never responds to them nor
-            runs them, ``break`` breaks off its responses in the middle; empty for no fault.
+            runs them, ``break`` breaks off its responses in the middle, ``cut`` sends them in any
+            framing and cuts them off after any byte, ``stutter`` sends each of them once more,
+            late; empty for no fault.
+        spoiled_share: Share of the answers that ``cut`` and ``stutter`` affect.
         endless_response: Sent in place of responses.
         endless_health_response: Sent in place of health check responses.
         endless_response_durations_s: Duration of each endless response, until its reader closed
@@ -56,6 +63,7 @@
         self.service = service
         self.service_time_s = 0.01
         self.fault = ""
+        self.spoiled_share = 1.0
         self.endless_response: EndlessResponse | None = None
         self.endless_health_response: EndlessResponse | None = None
         self.endless_response_durations_s: list[float] = []
@@ -67,6 +75,7 @@
         self.ran: list[tuple[str, float, str]] = []
         self.cancelled_requests: list[str] = []
         self.running = 0
+        self.random = random.Random(endpoint)
 
     def name_rate_limit(self, value: str) -> None:
         """Name ``value`` as the rate limit in all responses; empty ends it."""
@@ -78,6 +87,10 @@
     protocol_version = "HTTP/1.1"
     state: EndpointState
 
+    def setup(self) -> None:
+        super().setup()
+        self._write_lock = threading.Lock()
+
     def handle_request(self) -> None:
         state = self.state
         body = self.rfile.read(int(self.headers.get("Content-Length") or 0))
@@ -114,12 +127,14 @@
             return
         status = 500 if state.fault == "error" else 200
         response_headers = {"Request-Id": request, "Response-Signature": f"sig-{request}"}
-        response_body = f"{state.service} {self.path} ".encode() + body
-        if self.path.startswith(DOWNLOAD_PREFIX):
-            response_body = response_body.ljust(DOWNLOAD_BYTES, b".")
+        response_body = endpoint_answer(state.service, self.path, body)
         if state.fault == "break":
             self._break_off(response_body, response_headers)
             return
+        if state.fault in ("cut", "stutter") and state.random.random() < state.spoiled_share:
+            spoil = self._send_cut if state.fault == "cut" else self._send_twice
+            spoil(response_body, response_headers)
+            return
         self._send(status, response_body, response_headers)
 
     do_GET = do_POST = do_PUT = do_DELETE = handle_request
@@ -164,11 +179,49 @@
         self._send(200, body, headers, size=len(body) // 2)
         self.close_connection = True
 
+    def _send_cut(self, body: bytes, headers: dict[str, str]) -> None:
+        rng = self.state.random
+        answer = rng.choice(list(FRAMING_BY_NAME.values())).encode("200 OK", headers, body)
+        # Half of the cuts are near the start, so that they often hit the head of long answers too.
+        end = rng.choice([len(answer.data), min(len(answer.data), 2 * answer.head_size)])
+        size = rng.randrange(end)
+        # An answer without a length that ends in the middle of its body without a reset is whole.
+        is_whole = answer.ends_with_connection and size >= answer.head_size
+        self.close_connection = True
+        try:
+            self.wfile.write(answer.data[:size])
+            if is_whole or rng.random() < 0.5:
+                self.connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, NO_LINGER)
+                self.connection.close()
+        except OSError:
+            return
+
+    def _send_twice(self, body: bytes, headers: dict[str, str]) -> None:
+        answer = LengthFraming().encode("200 OK", headers, body)
+        self._write(answer.data)
+        delay_s = self.state.random.uniform(*SECOND_ANSWER_DELAY_S)
+        second = threading.Timer(delay_s, self._write, (answer.data,))
+        second.daemon = True
+        second.start()
+
+    def _write(self, data: bytes) -> None:
+        try:
+            with self._write_lock:
+                self.wfile.write(data)
+        except (OSError, ValueError):
+            self.close_connection = True
+
     def _load(self) -> str:
         return f"{self.state.running},0,8,100"
 
     def _send(
         self, status: int, body: bytes, headers: dict[str, str], *, size: int | None = None
+    ) -> None:
+        with self._write_lock:
+            self._send_locked(status, body[:size], headers, length=len(body))
+
+    def _send_locked(
+        self, status: int, body: bytes, headers: dict[str, str], *, length: int
     ) -> None:
         try:
             self.send_response(status)
@@ -178,9 +231,9 @@
                 self.send_header("Server-Limit", self.state.rate_limit)
                 if "Request-Id" in headers:
                     self.state.limited_responses.append((time.monotonic(), headers["Request-Id"]))
-            self.send_header("Content-Length", str(len(body)))
+            self.send_header("Content-Length", str(length))
             self.end_headers()
-            self.wfile.write(body[:size])
+            self.wfile.write(body)
         except OSError:
             self.close_connection = True
 
@@ -188,6 +241,12 @@
         """Log nothing."""
 
 
+def endpoint_answer(service: str, target: str, request_body: bytes) -> bytes:
+    """Return the body with which an endpoint of ``service`` answers a request."""
+    body = f"{service} {target} ".encode() + request_body
+    return body.ljust(DOWNLOAD_BYTES, b".") if target.startswith(DOWNLOAD_PREFIX) else body
+
+
 class PlatformEndpoint:
     """An endpoint that listens on loopback."""
 
--- a/packages/cassiahaven-standins/cassiahaven_standins/platform_soak.py
+++ b/packages/cassiahaven-standins/cassiahaven_standins/platform_soak.py
@@ -22,7 +22,7 @@
 from cassiahaven_standins.fleet import wait_until
 from cassiahaven_standins.link_proxy import LinkProxy
 from cassiahaven_standins.pipelining_caller import PipelinedRequest, PipeliningCaller
-from cassiahaven_standins.platform_endpoint import EndpointState
+from cassiahaven_standins.platform_endpoint import EndpointState, endpoint_answer
 from cassiahaven_standins.platform_fleet import (
     GRACE_MS,
     ZONES,
@@ -38,6 +38,9 @@
 LARGEST_BATCH = 5
 STALE_ANSWER_SHARE = 0.3
 SERVICES = ("one", "two")
+SPOILED_ANSWERS_GAP_S = (0.3, 2.0)
+SPOILED_ANSWERS_S = (0.5, 1.5)
+SPOILED_SHARE = 0.1  # more would have the endpoints ejected
 ENDPOINTS_PER_SERVICE = 3
 DRAIN_BOUND_S = 2.0
 CONFIG_BOUND_S = 2.0
@@ -114,6 +117,7 @@
             for n in range(PIPELINING_CALLERS)
         ]
         callers.append(threading.Thread(target=self._name_rate_limits))
+        callers.append(threading.Thread(target=self._spoil_answers))
         for caller in callers:
             caller.start()
         end_s = time.monotonic() + seconds
@@ -197,6 +201,21 @@
                 rng.uniform(*RATE_LIMITED_S), self._end_rate_limits, (limited, _rate_limit(rng))
             ).start()
 
+    def _spoil_answers(self) -> None:
+        """Let all endpoints cut some answers, or send them twice, beside the faults."""
+        rng = random.Random(f"{self._seed}/answers")
+        while not self._healing.wait(rng.uniform(*SPOILED_ANSWERS_GAP_S)):
+            fault = rng.choice(["cut", "stutter"])
+            self.findings.faults[fault] += 1
+            states = [item.state for item in list(self.fleet.endpoint_by_name.values())]
+            for state in states:
+                state.spoiled_share = SPOILED_SHARE
+                state.fault = state.fault or fault
+            self._healing.wait(rng.uniform(*SPOILED_ANSWERS_S))
+            for state in states:
+                if state.fault == fault:
+                    state.fault = ""
+
     def _end_rate_limits(self, limited: list[EndpointState], other: str) -> None:
         # The first one names another limit before it names none.
         if not self._healing.is_set():
@@ -437,7 +456,7 @@
                 )
             if item.status == 404:
                 self.findings.violations.append(f"route: {item.request} got 404 at {item.entry}")
-            if item.status == 200 and item.target.encode() not in item.body:
+            if item.status == 200 and item.body not in _whole_answers(item):
                 self.findings.violations.append(
                     f"wrong response: {item.request} got {item.body[:200]!r}"
                 )
@@ -488,6 +507,11 @@
         return max((item for item in fault_times_s if item < at_s), default=float("-inf"))
 
 
+def _whole_answers(item: SentCall) -> list[bytes]:
+    request_body = b"" if item.is_safe else item.request.encode()
+    return [endpoint_answer(service, item.target, request_body) for service in SERVICES]
+
+
 def _is_akin(state: EndpointState, other: EndpointState) -> bool:
     return state.service == other.service
 
--- /dev/null
+++ b/tests/test_answer_framing.py
@@ -0,0 +1,131 @@
+"""Answers of endpoints in every framing of HTTP, cut off after each byte."""
+
+import json
+import socket
+import subprocess
+import sys
+import threading
+
+import pytest
+
+from cassiahaven_standins.answer_framing import (
+    FRAMING_BY_NAME,
+    send_cut,
+)
+
+BODY = b"abcdefghijklmnopqrstuvwxyz" * 4
+HEADERS = {"Request-Id": "r1", "Response-Signature": "3e1b.07.5a2.600.0.c9f2a4d1"}
+SERVER_THREADS = 8
+SEND_ALL = """
+import base64, json, sys
+import eventlet; eventlet.monkey_patch()
+from cassiahaven_core.edge import SendFailed, TransferBroken, UpstreamRequest
+from cassiahaven_core.pool import EndpointAddress
+from cassiahaven_entry.http_transport import HttpTransport
+from cassiahaven_platform.dialects import PlatformUpstreams
+port, count, body_bytes = map(int, sys.argv[1:])
+transport = HttpTransport(PlatformUpstreams())
+address = EndpointAddress("e", "1", "z", "127.0.0.1", port, 1)
+def send(number):
+    is_get = number % 2 == 0
+    method, body = ("GET", b"") if is_get else ("POST", b"b" * body_bytes)
+    call = UpstreamRequest(method, f"/{number}", (), body, is_get, "r1")
+    sent = transport.send(address, call, 20_000)
+    if isinstance(sent, SendFailed):
+        return None
+    try:
+        return b"".join(sent.body).decode()
+    except TransferBroken:
+        return None
+print(json.dumps(list(eventlet.GreenPool(16).imap(send, range(count)))))
+"""
+
+
+class CutServer:
+    """Send the answer that the number in a request's path selects, and end the connection.
+
+    Args:
+        cuts: The bytes to send for each number, and whether to end the connection by a reset.
+        reads_body: Whether to read the request's body before answering.
+    """
+
+    def __init__(self, cuts, *, reads_body=True):
+        self.cuts = cuts
+        self.reads_body = reads_body
+        self.listener = socket.create_server(("127.0.0.1", 0), backlog=128)
+        for _ in range(SERVER_THREADS):
+            threading.Thread(target=self.serve, daemon=True).start()
+
+    def serve(self):
+        while True:
+            try:
+                connection, _ = self.listener.accept()
+            except OSError:
+                return
+            try:
+                head, _, body = self.read_until(connection, b"\r\n\r\n").partition(b"\r\n\r\n")
+                if self.reads_body and head.startswith(b"POST") and not body:
+                    connection.recv(65536)
+                data, resets = self.cuts[int(head.split(b" ")[1][1:])]
+                send_cut(connection, data, resets=resets)
+            except OSError:
+                connection.close()
+
+    def read_until(self, connection, end):
+        data = b""
+        while end not in data:
+            part = connection.recv(4096)
+            if not part:
+                raise ConnectionResetError
+            data += part
+        return data
+
+
+@pytest.fixture
+def send_calls():
+    """Return a function that sends a GET or a POST for each cut, and returns the bodies received.
+
+    The body is ``None`` if the answer was not received as a whole.
+    """
+    servers = []
+
+    def send(cuts, *, body_bytes=200, **options):
+        server = CutServer(cuts, **options)
+        servers.append(server)
+        port = server.listener.getsockname()[1]
+        command = [sys.executable, "-W", "ignore", "-c", SEND_ALL]
+        command += [str(port), str(len(cuts)), str(body_bytes)]
+        done = subprocess.run(command, capture_output=True, text=True, check=False, timeout=120)
+        assert done.returncode == 0, done.stderr
+        bodies = json.loads(done.stdout)
+        return [None if body is None else body.encode() for body in bodies]
+
+    yield send
+    for server in servers:
+        server.listener.close()
+
+
+@pytest.mark.parametrize(
+    ("framing", "status"),
+    [(name, "200 OK") for name in FRAMING_BY_NAME]
+    + [(name, "500 Internal Server Error") for name in ("length", "chunks", "connection")],
+)
+def test_answer_that_ends_early_never_looks_whole(send_calls, framing, status):
+    # An answer cut within its head, a chunk's size or the trailers was passed on as a whole one.
+    answer = FRAMING_BY_NAME[framing].encode(status, HEADERS, BODY)
+    cuts = [
+        (size, resets)
+        for size in range(len(answer.data) + 1)
+        for resets in (False, True)
+        for _ in ("GET", "POST")
+    ]
+    bodies = send_calls([(answer.data[:size], resets) for size, resets in cuts])
+    for (size, resets), body in zip(cuts, bodies, strict=True):
+        if answer.ends_with_connection and not resets and size >= answer.head_size:
+            assert body == answer.data[answer.head_size : size]  # its end cannot be told
+        elif size == len(answer.data) and not resets:
+            assert body == BODY
+        elif size == len(answer.data) and not answer.ends_with_connection:
+            assert body in (BODY, None)
+        else:
+            assert body is None, (size, resets)
--- a/tests/test_platform_path.py
+++ b/tests/test_platform_path.py
@@ -11,7 +11,7 @@
 
 from cassiahaven_standins.fleet import wait_until
 from cassiahaven_standins.pipelining_caller import PipelinedRequest, PipeliningCaller
-from cassiahaven_standins.platform_endpoint import DOWNLOAD_BYTES
+from cassiahaven_standins.platform_endpoint import DOWNLOAD_BYTES, endpoint_answer
 from cassiahaven_standins.platform_fleet import GRACE_MS, platform_fleet
 
 CONFIG_BOUND_S = 2.0
@@ -79,6 +79,23 @@
         assert len(body) < DOWNLOAD_BYTES
 
 
+@pytest.mark.parametrize("fault", ["cut", "stutter"])
+@pytest.mark.parametrize(
+    ("method", "kind"), [("GET", "safe"), ("POST", "unsafe"), ("GET", "download")]
+)
+def test_caller_never_gets_part_of_an_answer_or_another_one(fleet, request_id, fault, method, kind):
+    # Answers that were cut within their head were passed on as whole and empty ones.
+    for endpoint in fleet.endpoint_by_name.values():
+        endpoint.state.fault = fault
+    body = b"order" if method == "POST" else b""
+    for number in range(100):
+        target = f"/{kind}/x/{number}"
+        status, answer, _ = fleet.call(
+            fleet.entries[0], method, target, request=request_id(), body=body
+        )
+        assert status != 200 or answer == endpoint_answer("one", target, body)
+
+
 def test_calls_to_an_endpoint_that_hangs_are_answered_by_another(fleet, request_id):
     entry = fleet.entries[0]
     for number in range(150):
