Treat the end of a stream behind a failed send as a reset

What callers saw: an answer without a length that was reset on its way passed for a whole one.

Cause: the system reports a reset once. An endpoint that answers and resets while the entry still sends the request's body makes the send fail; the HTTP client ignores that, since an answer may have arrived, and reads what had arrived and then the end of the stream.

Why it works: the socket remembers the failed send, so that the end of the stream is reported as a reset. An answer that is complete by its length or its chunks doesn't read that far and is passed on as before.

--- a/packages/cassiahaven-entry/cassiahaven_entry/_connection.py
+++ b/packages/cassiahaven-entry/cassiahaven_entry/_connection.py
@@ -70,8 +70,9 @@
     """Raise if the connection was reset or the exchange exceeds its deadline.
 
     The library reports a reset as the end of the stream, so a truncated answer that ends with its
-    connection would look complete. Its timeouts apply to each receive, so an upstream that sends
-    a byte now and then would never hit them.
+    connection would look complete. The system reports a reset only once: after a failed send, the
+    next receives return what had arrived, and then the end of the stream. Timeouts of the library
+    apply to each receive, so an upstream that sends a byte now and then would never hit them.
 
     Attributes:
         expires_ms: Deadline of the exchange.
@@ -79,6 +80,7 @@
 
     expires_ms = float("inf")
     _receives_without_yield = 0
+    _has_failed_send = False
 
     def gettimeout(self) -> float | None:
         """Return the timeout of a receive in seconds, bounded by the deadline of the exchange."""
@@ -106,10 +108,17 @@
                 raise
 
         received = super()._recv_loop(receive, empty_val, *args)
-        if was_reset:
+        if was_reset or (self._has_failed_send and received == empty_val):
             raise ConnectionResetError(errno.ECONNRESET, "connection reset by the upstream")
         return received
 
+    def _send_loop(self, send_method: Callable, data: bytes, *args: Any) -> int:
+        try:
+            return super()._send_loop(send_method, data, *args)
+        except OSError:
+            self._has_failed_send = True
+            raise
+
     def _yield_if_due(self) -> None:
         # A receive that finds data does not yield to the hub, and an upstream may send without a
         # pause, so other greenlets would starve.
--- a/tests/test_answer_framing.py
+++ b/tests/test_answer_framing.py
@@ -10,6 +10,7 @@
 
 from cassiahaven_standins.answer_framing import (
     FRAMING_BY_NAME,
+    ConnectionFraming,
     send_cut,
 )
 
@@ -129,3 +130,11 @@
             assert body in (BODY, None)
         else:
             assert body is None, (size, resets)
+
+
+def test_answer_that_is_reset_while_the_request_is_sent_does_not_look_whole(send_calls):
+    # The failed send consumed the error, so the reset looked like the end of the connection.
+    answer = ConnectionFraming().encode("200 OK", HEADERS, BODY)
+    cuts = [(answer.data[:-10], True)] * 20
+    bodies = send_calls(cuts, body_bytes=4_000_000, reads_body=False)
+    assert bodies == [None] * len(cuts)
