Reject answers whose head does not tell where they end

Cause: the HTTP client drops the headers behind a malformed line, ignores lengths that are no numbers and transfer codings other than chunks, and reads to the end of the connection instead. Beside chunks, a length that may be wrong was passed on to the caller. Interim answers other than 100 were taken for the last one.

Why it works: a response is only read if its headers are whole, name one length or the chunks, and its status is a final one. Anything else counts as a lost connection, like an answer that breaks off.

--- a/packages/cassiahaven-entry/cassiahaven_entry/_connection.py
+++ b/packages/cassiahaven-entry/cassiahaven_entry/_connection.py
@@ -2,9 +2,10 @@
 
 import errno
 import io
+import re
 import socket
 from collections.abc import Callable
-from http.client import HTTPResponse
+from http.client import HTTPException, HTTPResponse
 from typing import Any
 
 import eventlet
@@ -15,6 +16,7 @@
 
 MOST_RECEIVES_WITHOUT_YIELD = 16  # the library reads 8 KB at a time
 SHORTEST_TIMEOUT_S = 0.001  # 0 would make the socket non-blocking
+DIGITS = re.compile(r"[0-9]+")
 
 
 class _AnswerBytes(io.RawIOBase):
@@ -46,7 +48,8 @@
     """Response whose connection may end only where its framing says that it ends.
 
     The library takes the end of the connection for the end of the headers, of a chunk's size and
-    of the trailers, so an answer that is cut there would look complete.
+    of the trailers, so an answer that is cut there would look complete. It also ignores headers
+    behind a malformed line, and lengths and transfer codings that it cannot read.
     """
 
     def __init__(self, sock: socket.socket, *args: Any, **options: Any) -> None:
@@ -55,8 +58,19 @@
         self.fp = io.BufferedReader(self._bytes)
 
     def begin(self) -> None:
-        """Read the head of the response."""
+        """Read the head of the response.
+
+        Raises:
+            HTTPException: The end of the response cannot be told from its headers.
+        """
         super().begin()
+        if self.msg.defects or self.msg.get_payload():
+            raise HTTPException("malformed headers")
+        lengths = self.msg.get_all("content-length", [])
+        codings = self.msg.get_all("transfer-encoding", [])
+        is_length_malformed = any(not DIGITS.fullmatch(length) for length in lengths)
+        if len(lengths) + len(codings) > 1 or is_length_malformed or (codings and not self.chunked):
+            raise HTTPException(f"unreadable framing: {lengths} {codings}")
         self._bytes.may_end = self.length is None and not self.chunked
 
 
--- a/packages/cassiahaven-entry/cassiahaven_entry/http_transport.py
+++ b/packages/cassiahaven-entry/cassiahaven_entry/http_transport.py
@@ -2,6 +2,7 @@
 
 import socket
 from collections.abc import Container, Iterator
+from http import HTTPStatus
 
 import urllib3
 from urllib3.connection import HTTPConnection
@@ -179,6 +180,9 @@
         self, request: UpstreamRequest, response: urllib3.BaseHTTPResponse, left_ms: float
     ) -> SendResult:
         value_by_name = {name.lower(): value for name, value in response.headers.items()}
+        if response.status < HTTPStatus.OK:
+            response.close()
+            return SendFailed(CallResult.CONNECTION_LOST, f"interim status {response.status}")
         signal = self._dialect.read_head(response.status, value_by_name, request.request_id)
         if not signal.is_genuine:
             response.close()
--- a/tests/test_answer_framing.py
+++ b/tests/test_answer_framing.py
@@ -11,6 +11,7 @@
 from cassiahaven_standins.answer_framing import (
     FRAMING_BY_NAME,
     ConnectionFraming,
+    LengthFraming,
     send_cut,
 )
 
@@ -138,3 +139,30 @@
     cuts = [(answer.data[:-10], True)] * 20
     bodies = send_calls(cuts, body_bytes=4_000_000, reads_body=False)
     assert bodies == [None] * len(cuts)
+
+
+MALFORMED_HEADS = {
+    "line without a colon": {"X": "y\r\nno colon", "Content-Length": "104"},
+    "length that is no number": {"Content-Length": "104 bytes"},
+    "two lengths": {"Content-Length": "104\r\nContent-Length: 7"},
+    "list of lengths": {"Content-Length": "104, 104"},
+    "negative length": {"Content-Length": "-1"},
+    "unknown transfer coding": {"Transfer-Encoding": "gzip, chunked"},
+    "length and chunks": {"Transfer-Encoding": "chunked", "Content-Length": "7"},
+}
+
+
+@pytest.mark.parametrize("fault", MALFORMED_HEADS)
+def test_answer_whose_end_cannot_be_read_is_not_passed_on(send_calls, fault):
+    # The library falls back to the end of the connection, or passes on a length that is wrong.
+    headers = HEADERS | MALFORMED_HEADS[fault]
+    body = b"68\r\n" + BODY + b"\r\n0\r\n\r\n" if "Transfer-Encoding" in headers else BODY
+    data = ConnectionFraming().encode("200 OK", headers, body).data
+    assert send_calls([(data, False)] * 2) == [None, None]
+
+
+@pytest.mark.parametrize("status", ["101 Switching Protocols", "103 Early Hints"])
+def test_interim_answer_is_not_passed_on_as_the_last_one(send_calls, status):
+    interim = f"HTTP/1.1 {status}\r\nRequest-Id: r1\r\n\r\n".encode()
+    answer = LengthFraming(interim=interim).encode("200 OK", HEADERS, BODY)
+    assert send_calls([(answer.data, False)] * 2) == [None, None]
