Report truncated answers of the stores and of the list of VMs

What happened: an answer of the native deployment's store that ended within its head was read as an empty table with a valid version, or raised KeyError, which no caller of the store expects.

Cause: the same as that of endpoints' answers that looked whole; the HTTP client takes the end of the connection for the end of the head.

Why it works: all clients of stores and lists read with the strict responses of the calls to upstreams.

--- a/packages/cassiahaven-entry/cassiahaven_entry/_connection.py
+++ b/packages/cassiahaven-entry/cassiahaven_entry/_connection.py
@@ -9,6 +9,7 @@
 from typing import Any
 
 import eventlet
+import urllib3
 from eventlet.greenio import GreenSocket
 from urllib3.connection import HTTPConnection
 
@@ -80,6 +81,19 @@
     response_class = WholeResponse
 
 
+class WholeResponsePool(urllib3.HTTPConnectionPool):
+    """Connections to one host that report truncated answers."""
+
+    ConnectionCls = WholeResponseConnection
+
+
+def whole_response_pools(**options: Any) -> urllib3.PoolManager:
+    """Return pools of connections that report truncated answers."""
+    pools = urllib3.PoolManager(**options)
+    pools.pool_classes_by_scheme = {**pools.pool_classes_by_scheme, "http": WholeResponsePool}
+    return pools
+
+
 class UpstreamSocket(GreenSocket):
     """Raise if the connection was reset or the exchange exceeds its deadline.
 
--- a/packages/cassiahaven-entry/cassiahaven_entry/http_store.py
+++ b/packages/cassiahaven-entry/cassiahaven_entry/http_store.py
@@ -6,6 +6,7 @@
 import urllib3
 
 from cassiahaven_core.edge import ObjectStore, StoredObject, StoreUnavailable, WatchResult
+from cassiahaven_entry._connection import whole_response_pools
 from cassiahaven_entry.metrics import Metrics
 
 CALL_TIMEOUT_S = 1.0
@@ -24,7 +25,7 @@
     def __init__(self, url: str, metrics: Metrics) -> None:
         self._url = url
         self._metrics = metrics
-        self._http = urllib3.PoolManager(retries=False, maxsize=8)
+        self._http = whole_response_pools(retries=False, maxsize=8)
 
     def get(self, key: str) -> StoredObject | None:
         """Return the object at ``key``, or ``None``."""
--- a/packages/cassiahaven-entry/cassiahaven_entry/http_vm_list.py
+++ b/packages/cassiahaven-entry/cassiahaven_entry/http_vm_list.py
@@ -5,6 +5,7 @@
 import urllib3
 
 from cassiahaven_core.edge import Vm, VmList, VmListUnavailable, VmRole
+from cassiahaven_entry._connection import whole_response_pools
 
 CALL_TIMEOUT_S = 1.0
 
@@ -14,7 +15,7 @@
 
     def __init__(self, url: str) -> None:
         self._url = url
-        self._http = urllib3.PoolManager(retries=False)
+        self._http = whole_response_pools(retries=False)
 
     def fetch(self) -> list[Vm]:
         """Return the listed VMs."""
