--- a/tests/test_platform_soak.py
+++ b/tests/test_platform_soak.py
@@ -10,6 +10,7 @@
     (1, 8.0),  # watches hung on dead connections after the store was back, so a drain was missed
     (13, 8.0),  # same cause as seed 1
     (310, 12.0),  # an entry that had lost the store kept an endpoint whose registration was gone
+    (2002, 10.0),  # answers that were cut within their head were passed on as empty ones
     (901, 10.0),  # endpoints got their usual calls although they had named a rate limit
 ]
 
