Reset the connection of a streamed answer that breaks off before HTTP/1.1

Cause: without chunks, an answer that has no length ends with its connection. When the endpoint's answer broke off, the entry still ended the caller's connection orderly.

Why it works: a reset is the only sign that such an answer is not whole.

--- a/packages/cassiahaven-entry/cassiahaven_entry/caller_connection.py
+++ b/packages/cassiahaven-entry/cassiahaven_entry/caller_connection.py
@@ -3,6 +3,7 @@
 import copy
 import io
 import socket
+import struct
 from typing import Any
 
 import eventlet
@@ -20,6 +21,7 @@
 BUFFER_BYTES = 16_384
 LINGER_S = 1.0  # callers close within a round trip of the last answer
 LONGEST_LOGGED_TARGET = 200
+RESET_ON_CLOSE = struct.pack("ii", 1, 0)  # value of SO_LINGER
 
 
 class CallerLeft(BaseException):
@@ -134,6 +136,14 @@
             self._connection.pipeline.record_body(self.number, size)
             self._body.send()
 
+    def break_off(self) -> None:
+        """Reset the connection if nothing else shows that the answer is not whole.
+
+        Before HTTP/1.1 there are no chunks, so an answer without a length ends with its connection.
+        """
+        if self._protocol.request_version != "HTTP/1.1":
+            self._connection.resets = True
+
     def end_connection(self) -> None:
         """Close the connection after this answer, unless a later request has been read."""
         if self._connection.pipeline.end_at(self.number):
@@ -202,6 +212,7 @@
     Attributes:
         dialect: Protocol that the caller speaks.
         pipeline: Requests that have been read and not answered yet.
+        resets: Whether to end the connection by a reset.
     """
 
     def setup(self) -> None:
@@ -209,6 +220,7 @@
         super().setup()
         self.rfile = io.BufferedReader(_CallerStream(self), BUFFER_BYTES)
         self.pipeline = Pipeline()
+        self.resets = False
         # ``server.app`` is a bound method of the frontend, so ``__self__`` is the frontend.
         self._frontend = self.server.app.__self__
         self.dialect = self._frontend.dialect
@@ -242,7 +254,7 @@
             self._reader = None
             self.pipeline.close()
             self._cancel_exchanges()
-        if not has_caller_left:
+        if not has_caller_left and not self.resets:
             self._linger()
 
     def handle_one_response(self) -> None:
@@ -302,7 +314,10 @@
     def finish(self) -> None:
         """Close the connection."""
         # The buffers are not closed: a cancelled request may be about to leave one of them.
-        greenio.shutdown_safe(self.connection)
+        if self.resets:
+            self.connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
+        else:
+            greenio.shutdown_safe(self.connection)
         self.connection.close()
 
     def _read_requests(self) -> bool:
--- a/packages/cassiahaven-entry/cassiahaven_entry/gateway.py
+++ b/packages/cassiahaven-entry/cassiahaven_entry/gateway.py
@@ -6,7 +6,7 @@
 import eventlet
 from eventlet import wsgi
 
-from cassiahaven_core.edge import CallerFrontend, CallRequest, CallResponse
+from cassiahaven_core.edge import CallerFrontend, CallRequest, CallResponse, TransferBroken
 from cassiahaven_core.outcome import NotRun
 from cassiahaven_core.reason import RefusalReason
 from cassiahaven_entry.caller_connection import EXCHANGE, CallerProtocol, Exchange
@@ -193,7 +193,11 @@
             self._is_due = True
             if self._frontend.is_closing:
                 self._exchange.end_connection()
-        return next(self._body)
+        try:
+            return next(self._body)
+        except TransferBroken:
+            self._exchange.break_off()
+            raise
 
     def close(self) -> None:
         """Close the body and end the request, once."""
--- a/packages/cassiahaven-entry/tests/test_caller_connection.py
+++ b/packages/cassiahaven-entry/tests/test_caller_connection.py
@@ -44,6 +44,7 @@
         self.request_by_target = {}
         self.waits_for_turn = set()
         self.body_by_target = {}
+        self.targets_without_length = set()
 
     def __call__(self, request):
         target = request.target
@@ -59,7 +60,10 @@
             raise
         body = self.body_by_target.get(target, [f"{target} ".encode() + request.body])
         size = sum(len(part) for part in body if isinstance(part, bytes))
-        return CallResponse(200, (("Content-Length", str(size)),), self._parts(body))
+        headers = (("Content-Length", str(size)),)
+        if target in self.targets_without_length:
+            headers = ()
+        return CallResponse(200, headers, self._parts(body))
 
     def release(self, target):
         self.release_by_target.setdefault(target, Event()).send()
@@ -106,6 +110,19 @@
     def is_closed(self):
         return not self.data and self.socket.recv(1) == b""
 
+    def is_reset(self):
+        """Read to the end of the connection; return whether a reset ended it."""
+        with eventlet.Timeout(WAIT_S):
+            while True:
+                try:
+                    # Green sockets report a reset as an orderly end.
+                    if not self.socket.fd.recv(65536):
+                        return False
+                except BlockingIOError:
+                    eventlet.sleep(0.005)
+                except ConnectionResetError:
+                    return True
+
     def _receive(self):
         received = self.socket.recv(65536)
         if not received:
@@ -290,6 +307,19 @@
     assert sorted(backend.left) == ["/b", "/order"]
 
 
+@pytest.mark.parametrize("breaks_off", [False, True])
+def test_answer_that_ends_with_its_connection_is_reset_if_it_breaks_off(
+    backend, connect, breaks_off
+):
+    # An orderly end looked like that of a whole answer: before HTTP/1.1 there are no chunks.
+    rest = TransferBroken if breaks_off else b"y" * 5000
+    backend.body_by_target["/now"] = [b"x" * 5000, rest]
+    backend.targets_without_length.add("/now")
+    caller = connect()
+    caller.socket.sendall(b"GET /now HTTP/1.0\r\nHost: h\r\n\r\n")
+    assert caller.is_reset() == breaks_off
+
+
 def test_a_stop_answers_what_was_read_and_passes_nothing_further_on(backend, connect, frontend):
     caller = connect()
     caller.send("/a", "/b")
