--- a/tests/test_platform_store.py
+++ b/tests/test_platform_store.py
@@ -158,3 +158,78 @@
     state.before_page = change_and_forget
     with pytest.raises(HistoryGone):
         store_of_standin.read(Topic.ENDPOINTS)
+
+
+UNREADABLE_VALUES = {
+    "nested lists": b"[" * 2000 + b"]" * 2000,
+    "nested objects": b'{"a":' * 900 + b"1" + b"}" * 900,
+    "deeply nested lists": b"[" * 200_000 + b"]" * 200_000,
+    "brackets in texts": b'["]]", ' * 2000 + b'"\\"[["' + b"]" * 2000,
+    "number of many digits": b"1" * 5000,
+    "bytes that are no UTF-8": b'"\xff\xfe"',
+    "address with bytes that are no UTF-8": b'"127.0.0.1\xff:9"',
+    "lone surrogate": b'"\\udcff"',
+    "port out of range": b'"127.0.0.1:99999"',
+    "port in other digits": '"127.0.0.1:\u0669"'.encode(),
+    "host that is no address": b'"some host:9"',
+    "very long text": b'"' + b"x" * 1_000_000 + b'"',
+}
+
+
+class RawHttp:
+    """In place of urllib3's pool: answer every call with the same bytes."""
+
+    def __init__(self, data):
+        self.data = data
+
+    def urlopen(self, method, target, *, body, headers, timeout):
+        return urllib3.HTTPResponse(self.data, status=200)
+
+
+@pytest.mark.parametrize("field", ["address", "service", "state", "slots", "born", "other"])
+@pytest.mark.parametrize("value", UNREADABLE_VALUES)
+def test_unreadable_entry_of_another_writer_hides_no_other_entry(platform_store, value, field):
+    # The whole list could not be decoded, so no entry heard of any endpoint again.
+    objects = [
+        json.dumps({"metadata": {"name": name}, "spec": registration()}).encode()
+        for name in ("i-1", "i-2", "i-3")
+    ]
+    spec = json.dumps(registration() | {field: "@"}).encode()
+    spec = spec.replace(b'"@"', UNREADABLE_VALUES[value])
+    objects[1] = b'{"metadata":{"name":"i-2"},"spec":' + spec + b"}"
+    listed = b'{"items":[' + b",".join(objects) + b'],"more":false,"storeRevision":7}'
+    events = [b'{"object":' + item + b',"deleted":false}' for item in objects]
+    watched = b'{"events":[' + b",".join(events) + b'],"storeRevision":7}'
+    for data, read in (
+        (listed, lambda: platform_store.read(Topic.ENDPOINTS)),
+        (watched, lambda: platform_store.watch(Topic.ENDPOINTS, revision=1, wait_ms=0)),
+    ):
+        platform_store._http = RawHttp(data)
+        changes = read()
+        assert changes.revision == 7
+        assert [change.name for change in changes.changes] == ["i-1", "i-2", "i-3"]
+        first, foreign, last = changes.changes
+        assert first.item is not None
+        assert last.item is not None
+        assert len(foreign.finding) <= 200
+        if field == "address":
+            assert foreign.item is None
+            assert foreign.finding
+
+
+def test_page_that_ends_with_an_unreadable_name_is_read_on_behind_the_last_readable_one(
+    platform_store,
+):
+    class Pages:
+        """In place of urllib3's pool: two pages, the first with an unreadable name at its end."""
+
+        def urlopen(self, method, target, *, body, headers, timeout):
+            after = parse_qs(urlsplit(target).query).get("after", [""])[0]
+            names = {"": ["i-1", "\udcff"], "i-1": ["\udcff", "i-2"]}[after]
+            items = [{"metadata": {"name": name}, "spec": registration()} for name in names]
+            plain = {"items": items, "more": not after, "storeRevision": 7}
+            return urllib3.HTTPResponse(json.dumps(plain).encode(), status=200)
+
+    platform_store._http = Pages()
+    listed = platform_store.read(Topic.ENDPOINTS)
+    assert {item.name for item in listed.changes if item.item} == {"i-1", "i-2"}
