Reject requests whose head does not tell where they end

Cause: eventlet's server knows only `chunked`, hands out an empty input for other codings, and reads on behind the head. It uses the first of several lengths, and headers behind a malformed line are dropped.

Why it works: such a request gets 400 and is the last one of its connection before anything behind its head is read, also in a pipeline.

--- a/packages/cassiahaven-entry/cassiahaven_entry/caller_connection.py
+++ b/packages/cassiahaven-entry/cassiahaven_entry/caller_connection.py
@@ -2,8 +2,10 @@
 
 import copy
 import io
+import re
 import socket
 import struct
+from email.message import Message
 from typing import Any
 
 import eventlet
@@ -21,6 +23,7 @@
 BUFFER_BYTES = 16_384
 LINGER_S = 1.0  # callers close within a round trip of the last answer
 LONGEST_LOGGED_TARGET = 200
+DIGITS = re.compile(r"[0-9]+")
 RESET_ON_CLOSE = struct.pack("ii", 1, 0)  # value of SO_LINGER
 
 
@@ -62,11 +65,13 @@
 
     Attributes:
         arrived_ms: When the request was read.
+        has_known_end: Whether its head tells where it ends; nothing is read behind it otherwise.
     """
 
     __slots__ = (
         "number",
         "arrived_ms",
+        "has_known_end",
         "_connection",
         "_protocol",
         "_turn",
@@ -80,6 +85,7 @@
     ) -> None:
         self.number = number
         self.arrived_ms = now_ms()
+        self.has_known_end = protocol is not None and _has_known_end(protocol.headers)
         self._connection = connection
         self._protocol = protocol
         self._turn: Event | None = None
@@ -263,6 +269,9 @@
             # An answer that closes the connection was begun while this request was being read.
             self.close_connection = True
             return
+        if not _has_known_end(self.headers):
+            # What follows may be its body, so it must not be read as further requests.
+            self.close_connection = True
         number = self.pipeline.add(is_last=bool(self.close_connection))
         protocol = copy.copy(self)
         exchange = Exchange(number, self, protocol)
@@ -271,7 +280,7 @@
         self._exchange_by_number[number] = exchange
         eventlet.spawn_n(exchange.run)
         has_body = self.environ.get("CONTENT_LENGTH", "0") != "0"
-        if has_body or "HTTP_TRANSFER_ENCODING" in self.environ:
+        if exchange.has_known_end and (has_body or "HTTP_TRANSFER_ENCODING" in self.environ):
             exchange.await_body()
         else:
             exchange.record_body(0)
@@ -384,3 +393,20 @@
             return  # the caller has closed the connection
         finally:
             self._frontend.lingering -= 1
+
+
+def _has_known_end(headers: Message) -> bool:
+    """Return whether the headers tell where a request ends.
+
+    The library drops headers behind a malformed line, uses the first of several lengths, and takes
+    a body in an unknown transfer coding for further requests.
+    """
+    if headers.defects or any(name != name.strip() for name in headers):
+        return False
+    lengths = headers.get_all("content-length", [])
+    codings = headers.get_all("transfer-encoding", [])
+    if len(lengths) + len(codings) > 1:
+        return False
+    return all(DIGITS.fullmatch(length) for length in lengths) and all(
+        coding.lower() == "chunked" for coding in codings
+    )
--- a/packages/cassiahaven-entry/cassiahaven_entry/gateway.py
+++ b/packages/cassiahaven-entry/cassiahaven_entry/gateway.py
@@ -98,6 +98,9 @@
             return direct
         head: CallHead | None = None
         try:
+            if not environ[EXCHANGE].has_known_end:
+                reason = RefusalReason.MALFORMED_REQUEST
+                raise RequestRejected("", reason, self.dialect.request_id(environ))
             head = self.dialect.read_head(environ)
             request = self._read(environ, head)
         except RequestRejected as error:
--- a/packages/cassiahaven-entry/tests/test_caller_connection.py
+++ b/packages/cassiahaven-entry/tests/test_caller_connection.py
@@ -199,6 +199,37 @@
     assert [caller.read()[1] for _ in range(3)] == [b"/now abc"] * 3
 
 
+UNKNOWN_ENDS = {
+    "another coding": "Transfer-Encoding: gzip, chunked\r\n",
+    "identity": "Transfer-Encoding: identity\r\n",
+    "two codings": "Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n",
+    "two lengths": "Content-Length: 0\r\nContent-Length: 30\r\n",
+    "sign": "Content-Length: +0\r\n",
+    "space before the colon": "Content-Length : 30\r\n",
+    "length behind a malformed line": "no colon\r\nContent-Length: 30\r\n",
+}
+
+
+@pytest.mark.parametrize("position", ["first", "behind another"])
+@pytest.mark.parametrize("fault", UNKNOWN_ENDS)
+def test_body_of_a_request_without_a_known_end_is_not_read_as_a_request(
+    backend, connect, fault, position
+):
+    # Orders with another transfer coding ran with an empty body, and their body as a request.
+    caller = connect()
+    if position != "first":
+        caller.send("/now")
+    smuggled = "GET /now/smuggled HTTP/1.1\r\nHost: h\r\n\r\n"
+    head = f"POST /now/order HTTP/1.1\r\nHost: h\r\n{UNKNOWN_ENDS[fault]}\r\n"
+    caller.socket.sendall((head + smuggled).encode())
+    if position != "first":
+        assert caller.read()[:2] == (200, b"/now ")
+    status, _, closes = caller.read()
+    assert (status, closes) == (400, True)
+    assert caller.is_closed()
+    assert not [target for target in backend.started if target != "/now"]
+
+
 def test_a_caller_that_asks_before_it_sends_a_body_is_told_to_go_on_in_its_turn(backend, connect):
     caller = connect()
     caller.send("/a")
