Ignore white space around lengths and transfer codings

Lengths of callers with such white space were rejected with 400 before, too. test_whitespace_around_the_length_or_coding_is_ignored fails for both headers on parts of the code before.

--- a/packages/cassiahaven-entry/cassiahaven_entry/_connection.py
+++ b/packages/cassiahaven-entry/cassiahaven_entry/_connection.py
@@ -69,7 +69,7 @@
             raise HTTPException("malformed headers")
         lengths = self.msg.get_all("content-length", [])
         codings = self.msg.get_all("transfer-encoding", [])
-        is_length_malformed = any(not DIGITS.fullmatch(length) for length in lengths)
+        is_length_malformed = any(not DIGITS.fullmatch(length.strip()) for length in lengths)
         if len(lengths) + len(codings) > 1 or is_length_malformed or (codings and not self.chunked):
             raise HTTPException(f"unreadable framing: {lengths} {codings}")
         self._bytes.may_end = self.length is None and not self.chunked
--- a/packages/cassiahaven-entry/cassiahaven_entry/caller_connection.py
+++ b/packages/cassiahaven-entry/cassiahaven_entry/caller_connection.py
@@ -81,11 +81,16 @@
     )
 
     def __init__(
-        self, number: int, connection: "CallerProtocol", protocol: "CallerProtocol | None"
+        self,
+        number: int,
+        connection: "CallerProtocol",
+        protocol: "CallerProtocol | None",
+        *,
+        has_known_end: bool = False,
     ) -> None:
         self.number = number
         self.arrived_ms = now_ms()
-        self.has_known_end = protocol is not None and _has_known_end(protocol.headers)
+        self.has_known_end = has_known_end
         self._connection = connection
         self._protocol = protocol
         self._turn: Event | None = None
@@ -269,18 +274,19 @@
             # An answer that closes the connection was begun while this request was being read.
             self.close_connection = True
             return
-        if not _has_known_end(self.headers):
+        has_known_end = _has_known_end(self.headers)
+        if not has_known_end:
             # What follows may be its body, so it must not be read as further requests.
             self.close_connection = True
         number = self.pipeline.add(is_last=bool(self.close_connection))
         protocol = copy.copy(self)
-        exchange = Exchange(number, self, protocol)
+        exchange = Exchange(number, self, protocol, has_known_end=has_known_end)
         protocol.wfile.exchange = exchange
         self.environ[EXCHANGE] = exchange
         self._exchange_by_number[number] = exchange
         eventlet.spawn_n(exchange.run)
         has_body = self.environ.get("CONTENT_LENGTH", "0") != "0"
-        if exchange.has_known_end and (has_body or "HTTP_TRANSFER_ENCODING" in self.environ):
+        if has_known_end and (has_body or "HTTP_TRANSFER_ENCODING" in self.environ):
             exchange.await_body()
         else:
             exchange.record_body(0)
@@ -407,6 +413,6 @@
     codings = headers.get_all("transfer-encoding", [])
     if len(lengths) + len(codings) > 1:
         return False
-    return all(DIGITS.fullmatch(length) for length in lengths) and all(
-        coding.lower() == "chunked" for coding in codings
+    return all(DIGITS.fullmatch(length.strip()) for length in lengths) and all(
+        coding.strip().lower() == "chunked" for coding in codings
     )
--- a/packages/cassiahaven-entry/cassiahaven_entry/gateway.py
+++ b/packages/cassiahaven-entry/cassiahaven_entry/gateway.py
@@ -141,7 +141,7 @@
                 yield name, value
 
     def _read_body(self, environ: Environ, head: CallHead) -> bytes:
-        declared = environ.get("CONTENT_LENGTH") or ""
+        declared = environ.get("CONTENT_LENGTH", "").strip()
         if declared and (not declared.isdigit() or int(declared) > head.largest_body_bytes):
             reason = (
                 RefusalReason.BODY_TOO_LARGE
--- a/packages/cassiahaven-entry/tests/test_caller_connection.py
+++ b/packages/cassiahaven-entry/tests/test_caller_connection.py
@@ -230,6 +230,19 @@
     assert not [target for target in backend.started if target != "/now"]
 
 
+@pytest.mark.parametrize(
+    ("header", "body"),
+    [
+        ("Content-Length: \t3 \t", "abc"),
+        ("Transfer-Encoding:  Chunked ", "3\r\nabc\r\n0\r\n\r\n"),
+    ],
+)
+def test_whitespace_around_the_length_or_coding_is_ignored(backend, connect, header, body):
+    caller = connect()
+    caller.socket.sendall(f"POST /now HTTP/1.1\r\nHost: h\r\n{header}\r\n\r\n{body}".encode())
+    assert caller.read() == (200, b"/now abc", False)
+
+
 def test_a_caller_that_asks_before_it_sends_a_body_is_told_to_go_on_in_its_turn(backend, connect):
     caller = connect()
     caller.send("/a")
