--- a/packages/cassiahaven-standins/cassiahaven_standins/platform_store.py
+++ b/packages/cassiahaven-standins/cassiahaven_standins/platform_store.py
@@ -14,6 +14,7 @@
 OBJECTS_PATH = "/cassiahaven/objects/"
 HISTORY_LENGTH = 1000
 POLL_S = 0.02
+MAX_SILENCE_S = 60.0
 
 
 class StoreState:
@@ -23,6 +24,7 @@
         is_down: Whether every request gets a 503.
         refused_hosts: Client IP addresses whose requests get a 503.
         is_silent: Whether requests get no response until it is cleared.
+        loses_watch_answers: Whether the answers to watches are lost, on connections that stay up.
         page_items: Number of objects on a page of a list.
         before_page: Called with the kind and the name after which a page starts, before the page
             is read.
@@ -37,6 +39,7 @@
         self.compacted_revision = 0  # watches from an earlier revision get a 410
         self.is_down = False
         self.is_silent = False
+        self.loses_watch_answers = False
         self.page_items = 500
         self.before_page: Callable[[str, str], None] = lambda kind, after: None
         self.refused_hosts: set[str] = set()
@@ -154,12 +157,23 @@
             if events is None:
                 self._send(410, None)
                 return
+            if events and self.state.loses_watch_answers:
+                self._lose_answer()
+                return
             if events or time.monotonic() >= deadline_s or self.state.is_down:
                 payload = {"events": events, "storeRevision": at_revision}
                 self._send(503 if self.state.is_down else 200, payload)
                 return
             threading.Event().wait(POLL_S)
 
+    def _lose_answer(self) -> None:
+        self.close_connection = True
+        self.connection.settimeout(MAX_SILENCE_S)
+        try:
+            self.connection.recv(1)
+        except OSError:
+            return
+
     def _parse_path(self) -> tuple[str, str, dict[str, str]]:
         parts = urlsplit(self.path)
         kind, _, name = parts.path.removeprefix(OBJECTS_PATH).partition("/")
--- a/packages/cassiahaven-standins/cassiahaven_standins/rate_limit_check.py
+++ b/packages/cassiahaven-standins/cassiahaven_standins/rate_limit_check.py
@@ -33,6 +33,23 @@
         )
 
 
+def told_limits(
+    rate_limits: Iterable[tuple[float, str]], told_s: Iterable[float]
+) -> list[tuple[float, str]]:
+    """Leave out the limits that were replaced before any answer carried them.
+
+    No entry can know of such a limit, so the one before it still holds.
+    """
+    named = list(rate_limits)
+    ends_s = [at_s for at_s, _ in named[1:]] + [float("inf")]
+    answered_s = sorted(told_s)
+    return [
+        (at_s, text)
+        for (at_s, text), end_s in zip(named, ends_s, strict=True)
+        if not text or bisect_left(answered_s, at_s) < bisect_left(answered_s, end_s)
+    ]
+
+
 def limited_periods(rate_limits: Iterable[tuple[float, str]]) -> list[LimitedPeriod]:
     """Return the periods in which an endpoint named limits that can be read."""
     periods: list[LimitedPeriod] = []
--- a/tests/test_rate_limit_check.py
+++ b/tests/test_rate_limit_check.py
@@ -2,7 +2,11 @@
 
 import pytest
 
-from cassiahaven_standins.rate_limit_check import limited_periods, rate_limit_violations
+from cassiahaven_standins.rate_limit_check import (
+    limited_periods,
+    rate_limit_violations,
+    told_limits,
+)
 
 CONTACT_S = 3.0
 
@@ -61,3 +65,12 @@
 
 def test_value_that_cannot_be_read_is_no_limit():
     assert limited_periods([(1.0, "soon"), (2.0, "-1"), (3.0, "")]) == []
+
+
+def test_limit_that_no_answer_carried_does_not_count():
+    # Seed 3007 of the soak: an endpoint named 0.5 for half a second without a request.
+    named = [(8.0, "5.2"), (10.0, "0.5"), (10.5, "nan"), (14.6, "")]
+    told_s = [8.1, 9.9, 10.6, 12.0]
+    assert told_limits(named, told_s) == [(8.0, "5.2"), (10.5, "nan"), (14.6, "")]
+    assert told_limits(named, [*told_s, 10.2]) == named
+    assert told_limits([(8.0, "1.1")], [8.1]) == [(8.0, "1.1")]
