--- a/packages/cassiahaven-core/cassiahaven_core/edge.py
+++ b/packages/cassiahaven-core/cassiahaven_core/edge.py
@@ -6,6 +6,7 @@
 from enum import Enum
 from typing import TypeAlias
 
+from cassiahaven_core.answer_record import AnswerRecord
 from cassiahaven_core.membership import Member
 from cassiahaven_core.pool import CallResult, EndpointAddress, LoadReport, ProbeFailed
 from cassiahaven_core.registry import Registration
@@ -211,6 +212,7 @@
         not_run: Whether the endpoint states that it did not run the call.
         is_misdirected: Whether another endpoint answered at this address.
         is_genuine: Whether the response is the endpoint's own and belongs to this call.
+        request_id: Id of the request that the response names, ``None`` if it names none.
         rate_limit_per_s: Calls a second that the endpoint takes from all entries together, infinite
             if it names no limit, ``None`` if the response does not tell.
         unreadable_rate_limit: Text of a rate limit that cannot be read, ``None`` otherwise.
@@ -221,6 +223,7 @@
     not_run: bool = False
     is_misdirected: bool = False
     is_genuine: bool = True
+    request_id: str | None = None
     rate_limit_per_s: float | None = None
     unreadable_rate_limit: str | None = None
 
@@ -281,6 +284,7 @@
         signal: Signals to the load balancer in the status and headers.
         body: Chunks of the body, exhausted at its end; raises ``TransferBroken`` if cut short.
         close: Closes the connection, even in the middle of the body.
+        record: How the answer was read so far; updated while the body is read.
     """
 
     status: int
@@ -288,6 +292,7 @@
     body: Iterator[bytes]
     close: Callable[[], None]
     signal: ResponseSignals = ResponseSignals()
+    record: AnswerRecord = field(default_factory=AnswerRecord)
 
 
 @dataclass(frozen=True, slots=True)
@@ -297,6 +302,7 @@
     result: CallResult
     detail: str
     signal: ResponseSignals = ResponseSignals()
+    record: AnswerRecord = field(default_factory=AnswerRecord)
 
 
 SendResult: TypeAlias = UpstreamAnswer | SendFailed
--- a/packages/cassiahaven-entry/cassiahaven_entry/_connection.py
+++ b/packages/cassiahaven-entry/cassiahaven_entry/_connection.py
@@ -5,6 +5,7 @@
 import re
 import socket
 from collections.abc import Callable
+from functools import partial
 from http.client import HTTPException, HTTPResponse
 from typing import Any
 
@@ -13,9 +14,11 @@
 from eventlet.greenio import GreenSocket
 from urllib3.connection import HTTPConnection
 
+from cassiahaven_core.answer_record import AnswerRecord, ConnectionEnd
 from cassiahaven_entry.clock import MS_PER_S, now_ms
 
 MOST_RECEIVES_WITHOUT_YIELD = 16  # the library reads 8 KB at a time
+LONGEST_LOGGED_BYTES = 200
 SHORTEST_TIMEOUT_S = 0.001  # 0 would make the socket non-blocking
 DIGITS = re.compile(r"[0-9]+")
 
@@ -23,21 +26,38 @@
 class _AnswerBytes(io.RawIOBase):
     """Bytes of an answer; raises if the connection ends before the answer does.
 
+    Args:
+        raw: Bytes of the connection.
+        record: Updated with what is received.
+
     Attributes:
         may_end: Whether the end of the connection is the end of the answer.
+        is_paused: Whether reads return nothing, so that only what has been buffered is read.
     """
 
-    def __init__(self, raw: io.RawIOBase) -> None:
+    def __init__(self, raw: io.RawIOBase, record: AnswerRecord) -> None:
         self.may_end = False
+        self.is_paused = False
         self._raw = raw
+        self._record = record
 
     def readable(self) -> bool:
         return True
 
     def readinto(self, buffer: Any) -> int | None:
-        count = self._raw.readinto(buffer)
-        if count == 0 and len(buffer) and not self.may_end:
-            raise ConnectionResetError(errno.ECONNRESET, "the connection ended within an answer")
+        if self.is_paused:
+            return None
+        try:
+            count = self._raw.readinto(buffer)
+        except OSError as error:
+            self._record.connection = _connection_end(error)
+            raise
+        if count == 0 and len(buffer):
+            self._record.connection = ConnectionEnd.CLOSED
+            if not self.may_end:
+                message = "the connection ended within an answer"
+                raise ConnectionResetError(errno.ECONNRESET, message)
+        self._record.received_bytes += count or 0
         return count
 
     def close(self) -> None:
@@ -51,11 +71,17 @@
     The library takes the end of the connection for the end of the headers, of a chunk's size and
     of the trailers, so an answer that is cut there would look complete. It also ignores headers
     behind a malformed line, and lengths and transfer codings that it cannot read.
+
+    Args:
+        record: Updated with what is received.
     """
 
-    def __init__(self, sock: socket.socket, *args: Any, **options: Any) -> None:
+    def __init__(
+        self, sock: socket.socket, *args: Any, record: AnswerRecord | None = None, **options: Any
+    ) -> None:
         super().__init__(sock, *args, **options)
-        self._bytes = _AnswerBytes(self.fp.detach())
+        self._record = record or AnswerRecord()
+        self._bytes = _AnswerBytes(self.fp.detach(), self._record)
         self.fp = io.BufferedReader(self._bytes)
 
     def begin(self) -> None:
@@ -74,6 +100,12 @@
             raise HTTPException(f"unreadable framing: {lengths} {codings}")
         self._bytes.may_end = self.length is None and not self.chunked
 
+    def _close_conn(self) -> None:
+        if not self.fp.closed:
+            self._bytes.is_paused = True
+            self._record.surplus_bytes = len(self.fp.peek())
+        super()._close_conn()
+
 
 class WholeResponseConnection(HTTPConnection):
     """Connection that reports truncated answers."""
@@ -157,9 +189,26 @@
 
 
 class PeekingConnection(WholeResponseConnection):
-    """Check for a closed connection without yielding to the hub, and enforce a deadline."""
+    """Check for a closed connection without yielding to the hub, and enforce a deadline.
+
+    Attributes:
+        on_unexpected_bytes: Called with the first bytes found while no call was waiting for any.
+    """
 
+    on_unexpected_bytes: Callable[[bytes], None] | None = None
     _expires_ms = float("inf")
+    _exchanges = 0
+
+    def start_exchange(self, record: AnswerRecord) -> None:
+        """Record in ``record`` how the next answer is read."""
+        self._exchanges += 1
+        record.exchange = self._exchanges
+        self.response_class = partial(WholeResponse, record=record)
+
+    def close(self) -> None:
+        """Close the connection; another one may be opened in its place."""
+        super().close()
+        self._exchanges = 0
 
     def expire_in(self, timeout_ms: float) -> None:
         """Set the deadline of the exchange to ``timeout_ms`` milliseconds from now."""
@@ -198,9 +247,17 @@
         if raw_socket is None:
             return super().is_connected
         try:
-            raw_socket.recv(1, socket.MSG_PEEK)
+            found = raw_socket.recv(LONGEST_LOGGED_BYTES, socket.MSG_PEEK)
         except BlockingIOError:
             return True
         except OSError:
             return False
+        if found and self.on_unexpected_bytes is not None:
+            self.on_unexpected_bytes(found)
         return False
+
+
+def _connection_end(error: OSError) -> ConnectionEnd:
+    if isinstance(error, ConnectionResetError):
+        return ConnectionEnd.RESET
+    return ConnectionEnd.TIMEOUT if isinstance(error, TimeoutError) else ConnectionEnd.ERROR
--- a/packages/cassiahaven-entry/cassiahaven_entry/attempts.py
+++ b/packages/cassiahaven-entry/cassiahaven_entry/attempts.py
@@ -25,6 +25,7 @@
 from cassiahaven_core.service import Effect, Refuse
 from cassiahaven_entry.call import AnswerStream, Call, Finished
 from cassiahaven_entry.clock import now_ms
+from cassiahaven_entry.event import LogEvent, log
 from cassiahaven_entry.metrics import Metrics
 from cassiahaven_entry.service_task import ServiceTask
 
@@ -174,7 +175,7 @@
             if not isinstance(ended, Finished) or ended.stream is None:
                 task.finish(call.waiting, address.endpoint, _result(ended))
         if isinstance(ended, SendFailed):
-            call.note("failed", f"{ended.result.value}: {ended.detail}")
+            call.note("failed", f"{ended.result.value}: {ended.detail} ({ended.record.text})")
             self._record_crash(call, address, ended)
         else:
             self._quarantine.clear(call.fingerprint)
@@ -218,17 +219,19 @@
                 reserved = size
             is_kept = True
         except TransferBroken as error:
-            return SendFailed(CallResult.CONNECTION_LOST, f"answer broken: {error}")
+            detail = f"answer broken: {error}"
+            return SendFailed(CallResult.CONNECTION_LOST, detail, record=sent.record)
         finally:
             if not is_kept:
                 self._memory.release(reserved)
         outcome = Ran(sent.status, address.endpoint)
         if not reserved:
-            return Finished(outcome, Answer(sent.status, sent.headers, b"".join(parts)))
+            answer = Answer(sent.status, sent.headers, b"".join(parts))
+            return Finished(outcome, answer, record=sent.record)
         task.finish(call.waiting, address.endpoint, CallResult.OK)
         head = Answer(sent.status, sent.headers, b"")
         release = partial(self._release, reserved)
-        return Finished(outcome, head, AnswerStream(parts, sent, release))
+        return Finished(outcome, head, AnswerStream(parts, sent, release), sent.record)
 
     def _stream(
         self,
@@ -242,11 +245,18 @@
         def end(result: CallResult) -> None:
             self._memory.release(reserved)
             call.note("streamed", result.value)
+            log(
+                LogEvent.ANSWER_STREAMED,
+                request=call.request.request_id,
+                call=call.call_id,
+                result=result.value,
+                answer=sent.record.to_plain(),
+            )
             task.finish(call.waiting, address.endpoint, result)
 
         outcome = Ran(sent.status, address.endpoint)
         head = Answer(sent.status, sent.headers, b"")
-        return Finished(outcome, head, AnswerStream(parts, sent, end))
+        return Finished(outcome, head, AnswerStream(parts, sent, end), sent.record)
 
     def _release(self, reserved: int, _: CallResult) -> None:
         self._memory.release(reserved)
--- a/packages/cassiahaven-entry/cassiahaven_entry/call.py
+++ b/packages/cassiahaven-entry/cassiahaven_entry/call.py
@@ -6,6 +6,7 @@
 
 from cassiahaven_core.admission import WaitingCall
 from cassiahaven_core.answer import Answer
+from cassiahaven_core.answer_record import AnswerRecord
 from cassiahaven_core.edge import CallRequest, TransferBroken, UpstreamAnswer
 from cassiahaven_core.explanation import Explanation, Step
 from cassiahaven_core.outcome import Outcome
@@ -116,11 +117,13 @@
         outcome: Whether the call ran.
         answer: The upstream's answer, without its body if the body is streamed.
         stream: Body of an answer that is too large to store.
+        record: How the answer was read.
     """
 
     outcome: Outcome
     answer: Answer | None = None
     stream: AnswerStream | None = None
+    record: AnswerRecord | None = None
 
     @property
     def whole_answer(self) -> Answer | None:
--- a/packages/cassiahaven-entry/cassiahaven_entry/http_transport.py
+++ b/packages/cassiahaven-entry/cassiahaven_entry/http_transport.py
@@ -1,8 +1,11 @@
 """Calls to upstreams over HTTP."""
 
 import socket
-from collections.abc import Container, Iterator
+from collections.abc import Callable, Container, Iterator
+from enum import Enum
+from functools import partial
 from http import HTTPStatus
+from typing import Any
 
 import urllib3
 from urllib3.connection import HTTPConnection
@@ -14,6 +17,7 @@
 )
 from urllib3.util import SKIP_HEADER
 
+from cassiahaven_core.answer_record import AnswerRecord, Framing
 from cassiahaven_core.edge import (
     SendFailed,
     SendResult,
@@ -25,6 +29,8 @@
 )
 from cassiahaven_core.pool import CallResult, EndpointAddress, LoadReport, ProbeFailed
 from cassiahaven_entry._connection import PeekingConnection
+from cassiahaven_entry.event import LogEvent, log
+from cassiahaven_entry.metrics import Metrics
 
 CONNECT_TIMEOUT_S = 0.5
 DOWN_CHECK_TIMEOUT_S = 0.1  # a dying process closes its sockets sooner, even on a busy machine
@@ -58,24 +64,44 @@
 SUPPRESSED_HEADERS = ("User-Agent", "Accept-Encoding")
 
 
+class UnexpectedPlace(Enum):
+    """Where bytes were found that no call was waiting for."""
+
+    IDLE_CONNECTION = "idle connection"  # found when a call was about to use the connection
+    BEHIND_ANSWER = "behind an answer"
+    IN_PLACE_OF_ANSWER = "in place of an answer"  # a response that names another request
+
+
 class _CallHeaders(urllib3.HTTPHeaderDict):
-    """Headers that carry the raw target past urllib3, which rewrites percent-encodings."""
+    """Headers that carry the raw target past urllib3, which rewrites percent-encodings.
+
+    They also carry the record of the answer to the connection on which the call is sent.
+    """
 
     target: str = ""
+    record: AnswerRecord
 
     def copy(self) -> "_CallHeaders":
         copied = super().copy()
         copied.target = self.target
+        copied.record = self.record
         return copied
 
 
 class _ConnectionPool(urllib3.HTTPConnectionPool):
     ConnectionCls = PeekingConnection
+    on_unexpected_bytes: Callable[[bytes], None] | None = None
+
+    def _new_conn(self) -> PeekingConnection:
+        conn = super()._new_conn()
+        conn.on_unexpected_bytes = self.on_unexpected_bytes
+        return conn
 
     def _make_request(
         self, conn, method, url, *, headers, timeout, **options
     ):  # noqa: ANN001, ANN003, ANN202
         conn.expire_in(timeout.total * MS_PER_S)
+        conn.start_exchange(headers.record)
         return super()._make_request(
             conn, method, headers.target, headers=headers, timeout=timeout, **options
         )
@@ -89,10 +115,12 @@
 
     Args:
         dialect: Protocol between entries and upstreams.
+        metrics: Counts how answers were read.
     """
 
-    def __init__(self, dialect: UpstreamDialect) -> None:
+    def __init__(self, dialect: UpstreamDialect, *, metrics: Metrics | None = None) -> None:
         self._dialect = dialect
+        self._metrics = metrics or Metrics()
         self._pool_by_incarnation: dict[tuple[str, str], urllib3.HTTPConnectionPool] = {}
 
     def send(
@@ -104,6 +132,20 @@
         patience_ms: float | None = None,
     ) -> SendResult:
         """Send ``request`` once and return the answer, its body not read yet, or the failure."""
+        record = AnswerRecord()
+        result = self._send(address, request, timeout_ms, patience_ms, record)
+        if isinstance(result, SendFailed):
+            self._count(record)
+        return result
+
+    def _send(
+        self,
+        address: EndpointAddress,
+        request: UpstreamRequest,
+        timeout_ms: float,
+        patience_ms: float | None,
+        record: AnswerRecord,
+    ) -> SendResult:
         pool = self._pool(address) if request.idempotent else self._single_use_pool(address)
         head_ms = timeout_ms if patience_ms is None else min(timeout_ms, patience_ms)
         timeout_s = head_ms / MS_PER_S
@@ -113,7 +155,7 @@
                 request.method,
                 request.target,
                 body=request.body or None,
-                headers=_headers(request),
+                headers=_headers(request, record),
                 retries=False,
                 redirect=False,
                 timeout=timeout,
@@ -121,15 +163,16 @@
                 decode_content=False,
             )
         except (NewConnectionError, ConnectTimeoutError) as error:
-            return SendFailed(CallResult.CONNECT_FAILED, str(error))
+            return SendFailed(CallResult.CONNECT_FAILED, str(error), record=record)
         except ReadTimeoutError as error:
             # The connection is closed: whatever it still brings belongs to this call.
             is_impatient = head_ms < timeout_ms
             result = CallResult.UNANSWERED if is_impatient else CallResult.TIMEOUT
-            return SendFailed(result, str(error))
+            return SendFailed(result, str(error), record=record)
         except (HTTPError, OSError) as error:
-            return SendFailed(CallResult.CONNECTION_LOST, str(error))
-        return self._answer(request, response, timeout_ms - head_ms)
+            return SendFailed(CallResult.CONNECTION_LOST, str(error), record=record)
+        record.framing, record.declared_bytes = _framing(request, response)
+        return self._answer(address, request, response, timeout_ms - head_ms, record)
 
     def probe(
         self, address: EndpointAddress, path: str, timeout_ms: float
@@ -140,7 +183,7 @@
             response = self._pool(address).urlopen(
                 request.method,
                 path,
-                headers=_headers(request),
+                headers=_headers(request, AnswerRecord()),
                 retries=False,
                 redirect=False,
                 timeout=urllib3.Timeout(total=timeout_ms / MS_PER_S),
@@ -177,26 +220,42 @@
                 self._pool_by_incarnation.pop(key).close()
 
     def _answer(
-        self, request: UpstreamRequest, response: urllib3.BaseHTTPResponse, left_ms: float
+        self,
+        address: EndpointAddress,
+        request: UpstreamRequest,
+        response: urllib3.BaseHTTPResponse,
+        left_ms: float,
+        record: AnswerRecord,
     ) -> SendResult:
         value_by_name = {name.lower(): value for name, value in response.headers.items()}
         if response.status < HTTPStatus.OK:
             response.close()
-            return SendFailed(CallResult.CONNECTION_LOST, f"interim status {response.status}")
+            detail = f"interim status {response.status}"
+            return SendFailed(CallResult.CONNECTION_LOST, detail, record=record)
         signal = self._dialect.read_head(response.status, value_by_name, request.request_id)
         if not signal.is_genuine:
             response.close()
-            return SendFailed(CallResult.CONNECTION_LOST, "answer belongs to another call")
+            if signal.request_id != request.request_id:
+                self._report_unexpected(
+                    address,
+                    UnexpectedPlace.IN_PLACE_OF_ANSWER,
+                    request=request.request_id,
+                    named=signal.request_id,
+                    status=response.status,
+                    answer=record.to_plain(),
+                )
+            detail = "answer belongs to another call"
+            return SendFailed(CallResult.CONNECTION_LOST, detail, record=record)
         if signal.not_run:
             _discard(response)
             result = CallResult.REPLACED if signal.is_misdirected else CallResult.REFUSED
-            return SendFailed(result, f"status {response.status}", signal)
+            return SendFailed(result, f"status {response.status}", signal, record)
         if not self._dialect.accepts_unframed and not _has_known_end(
             request, response, value_by_name
         ):
             # A complete answer could not be told from a truncated one.
             response.close()
-            return SendFailed(CallResult.CONNECTION_LOST, "answer without a length")
+            return SendFailed(CallResult.CONNECTION_LOST, "answer without a length", record=record)
         headers = tuple(
             (name, value)
             for name, value in response.headers.items()
@@ -204,7 +263,56 @@
         )
         if response.connection is not None:
             response.connection.extend(left_ms + BODY_GRACE_MS)
-        return UpstreamAnswer(response.status, headers, _parts(response), response.close, signal)
+        body = self._parts(address, request, response, record)
+        return UpstreamAnswer(response.status, headers, body, response.close, signal, record)
+
+    def _parts(
+        self,
+        address: EndpointAddress,
+        request: UpstreamRequest,
+        response: urllib3.BaseHTTPResponse,
+        record: AnswerRecord,
+    ) -> Iterator[bytes]:
+        try:
+            for part in _read(response):
+                record.body_bytes += len(part)
+                yield part
+        except (HTTPError, OSError) as error:
+            response.close()
+            raise TransferBroken(str(error)) from None
+        else:
+            response.release_conn()
+            record.is_whole = True
+            if record.surplus_bytes:
+                self._report_unexpected(
+                    address,
+                    UnexpectedPlace.BEHIND_ANSWER,
+                    request=request.request_id,
+                    answer=record.to_plain(),
+                )
+        finally:
+            self._count(record)
+
+    def _count(self, record: AnswerRecord) -> None:
+        end = "whole" if record.is_whole else "broken"
+        labels = (record.framing.value, record.connection.value, end)
+        self._metrics.answers.labels(*labels).inc()
+
+    def _report_unexpected(
+        self, address: EndpointAddress, place: UnexpectedPlace, **fields: Any
+    ) -> None:
+        self._metrics.unexpected_bytes.labels(place.value).inc()
+        log(
+            LogEvent.UNEXPECTED_BYTES,
+            endpoint=address.endpoint,
+            incarnation=address.incarnation,
+            place=place.value,
+            **fields,
+        )
+
+    def _report_idle_bytes(self, address: EndpointAddress, found: bytes) -> None:
+        start = found.decode("latin-1")
+        self._report_unexpected(address, UnexpectedPlace.IDLE_CONNECTION, start=start)
 
     def _pool(self, address: EndpointAddress) -> urllib3.HTTPConnectionPool:
         key = (address.endpoint, address.incarnation)
@@ -218,18 +326,21 @@
         return self._new_pool(address, 1)
 
     def _new_pool(self, address: EndpointAddress, size: int) -> urllib3.HTTPConnectionPool:
-        return _ConnectionPool(
+        pool = _ConnectionPool(
             address.host,
             address.port,
             maxsize=size,
             retries=False,
             socket_options=SOCKET_OPTIONS,
         )
+        pool.on_unexpected_bytes = partial(self._report_idle_bytes, address)
+        return pool
 
 
-def _headers(request: UpstreamRequest) -> _CallHeaders:
+def _headers(request: UpstreamRequest, record: AnswerRecord) -> _CallHeaders:
     headers = _CallHeaders(request.headers)
     headers.target = request.target
+    headers.record = record
     for name in SUPPRESSED_HEADERS:
         if name not in headers:
             headers[name] = SKIP_HEADER
@@ -257,14 +368,22 @@
     return "content-length" in names or "transfer-encoding" in names
 
 
-def _parts(response: urllib3.BaseHTTPResponse) -> Iterator[bytes]:
-    try:
-        length = response.headers.get("Content-Length", "")
-        if length.isdigit() and int(length) <= PART_BYTES:
-            yield response.read(decode_content=False)
-        else:
-            yield from response.stream(PART_BYTES, decode_content=False)
-    except (HTTPError, OSError) as error:
-        response.close()
-        raise TransferBroken(str(error)) from None
-    response.release_conn()
+def _framing(
+    request: UpstreamRequest, response: urllib3.BaseHTTPResponse
+) -> tuple[Framing, int | None]:
+    """Return what tells where the answer ends, and the length that its head declares."""
+    length = response.headers.get("Content-Length", "").strip()
+    declared = int(length) if length.isdigit() else None
+    if request.method == "HEAD" or response.status in BODILESS_STATUSES:
+        return Framing.BODILESS, declared
+    if "Transfer-Encoding" in response.headers:
+        return Framing.CHUNKS, declared
+    return (Framing.CONNECTION if declared is None else Framing.LENGTH), declared
+
+
+def _read(response: urllib3.BaseHTTPResponse) -> Iterator[bytes]:
+    length = response.headers.get("Content-Length", "")
+    if length.isdigit() and int(length) <= PART_BYTES:
+        yield response.read(decode_content=False)
+    else:
+        yield from response.stream(PART_BYTES, decode_content=False)
--- a/packages/cassiahaven-entry/cassiahaven_entry/metrics.py
+++ b/packages/cassiahaven-entry/cassiahaven_entry/metrics.py
@@ -62,6 +62,12 @@
         self.retries = self._counter("retries", "Further attempts", "service", "reason")
         self.retries_denied = self._counter("retries_denied", "Attempts not repeated", "service")
         self.probes = self._counter("probes", "Probes sent to upstreams", "service")
+        self.answers = self._counter(
+            "answers", "Answers of upstreams by how they were read", "framing", "connection", "end"
+        )
+        self.unexpected_bytes = self._counter(
+            "unexpected_bytes", "Bytes of upstreams that no call was waiting for", "place"
+        )
         self.peer_rejections = self._counter("peer_rejections", "Peers turned away", "reason")
         self.operator_rejections = self._counter(
             "operator_rejections", "Operator requests turned away", "reason"
--- a/packages/cassiahaven-entry/cassiahaven_entry/node.py
+++ b/packages/cassiahaven-entry/cassiahaven_entry/node.py
@@ -101,7 +101,7 @@
         self.heartbeats = Heartbeats(
             self.own_address, self.tables, self.task_by_service, self.peer_server.publish
         )
-        self.transport = HttpTransport(dialect)
+        self.transport = HttpTransport(dialect, metrics=self.metrics)
         self.endpoints = Endpoints(
             settings,
             vm_list,
--- a/packages/cassiahaven-entry/cassiahaven_entry/routed_calls.py
+++ b/packages/cassiahaven-entry/cassiahaven_entry/routed_calls.py
@@ -4,6 +4,7 @@
 from itertools import count
 
 from cassiahaven_core.admission import WaitingCall
+from cassiahaven_core.answer_record import AnswerRecord
 from cassiahaven_core.edge import CallRequest, CallResponse
 from cassiahaven_core.explanation import ExplanationMemory
 from cassiahaven_core.outcome import NotRun, Outcome, Ran, Unknown
@@ -73,7 +74,7 @@
         try:
             finished = self._attempts.run(call, task)
         except CallerLeft:
-            self._record_end(call, route, "caller-left", None)
+            self._record_end(call, route, "caller-left")
             raise
         except Exception as error:
             log(LogEvent.CALL_FAILED_INTERNALLY, call=call.call_id, error=repr(error))
@@ -130,9 +131,9 @@
                 request_id=call.request.request_id,
                 retry_after_ms=retry_after_ms,
             )
-            self._record_end(call, route, outcome.header, response.status)
+            self._record_end(call, route, outcome.header, status=response.status)
             return response
-        self._record_end(call, route, outcome.header, answer.status)
+        self._record_end(call, route, outcome.header, status=answer.status, record=finished.record)
         if finished.stream is not None:
             return CallResponse(answer.status, answer.headers, finished.stream)
         headers = answer.headers
@@ -152,7 +153,15 @@
             case Ran():
                 pass
 
-    def _record_end(self, call: Call, route: Route, outcome: str, status: int | None) -> None:
+    def _record_end(
+        self,
+        call: Call,
+        route: Route,
+        outcome: str,
+        *,
+        status: int | None = None,
+        record: AnswerRecord | None = None,
+    ) -> None:
         call.explanation.outcome = outcome
         # Callers identify a call by the request id that they sent.
         call.explanation.call_id = call.request.request_id or call.call_id
@@ -168,6 +177,7 @@
             status=status,
             target_ms=route.target_ms,
             took_ms=round(now_ms() - call.waiting.arrived_ms, 1),
+            answer=record.to_plain() if record is not None else None,
             steps=[
                 f"{step.at_ms:.0f} {step.what} {step.detail}" for step in call.explanation.steps
             ],
--- a/packages/cassiahaven-entry/cassiahaven_entry/routed_node.py
+++ b/packages/cassiahaven-entry/cassiahaven_entry/routed_node.py
@@ -148,7 +148,7 @@
         dialect = self._adapter.make_upstream_dialect()
         callers = self._adapter.make_caller_dialect(self.routing)
         self.quarantine = Quarantine()
-        self.transport = HttpTransport(dialect)
+        self.transport = HttpTransport(dialect, metrics=self.metrics)
         attempts = AttemptRunner(
             self.transport,
             dialect,
