--- a/packages/cassiahaven-entry/tests/test_http_transport.py
+++ b/packages/cassiahaven-entry/tests/test_http_transport.py
@@ -1,5 +1,6 @@
 """HTTP transport over real sockets, against misbehaving upstreams."""
 
+import json
 import socket
 import struct
 import subprocess
@@ -9,11 +10,16 @@
 
 import pytest
 
+from cassiahaven_core.answer_record import ConnectionEnd, Framing
 from cassiahaven_core.edge import SendFailed, TransferBroken, UpstreamRequest
 from cassiahaven_core.pool import CallResult, EndpointAddress
+from cassiahaven_entry import http_transport as http_transport_module
 from cassiahaven_entry._connection import UpstreamSocket
+from cassiahaven_entry.event import LogEvent
 from cassiahaven_entry.header_dialect import HeaderDialect
-from cassiahaven_entry.http_transport import HttpTransport
+from cassiahaven_entry.http_transport import HttpTransport, UnexpectedPlace
+from cassiahaven_entry.metrics import Metrics
+from cassiahaven_platform.dialects import PlatformUpstreams
 
 WHOLE = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
 
@@ -240,3 +246,141 @@
     head = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n"
     port = slow_upstream((0.0, head + b"o"), (1.5, b"k"))
     assert send_under_the_hub(port, patience_ms=400, timeout_ms=8000) == "b'ok'"
+
+
+CHUNKED = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+SIGNED = b"HTTP/1.1 200 OK\r\nRequest-Id: %b\r\nResponse-Signature: s\r\n"
+
+
+@pytest.fixture
+def events(monkeypatch):
+    """Return the list of log lines that the transport writes."""
+    lines = []
+    monkeypatch.setattr(
+        http_transport_module, "log", lambda event, **fields: lines.append((event, fields))
+    )
+    return lines
+
+
+@pytest.mark.parametrize(
+    ("rest", "framing", "declared", "body"),
+    [
+        (b"Content-Length: 2\r\n\r\nok", Framing.LENGTH, 2, 2),
+        (b"Transfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n", Framing.CHUNKS, None, 2),
+        (b"\r\nok", Framing.CONNECTION, None, 2),
+        (b"Content-Length: 0\r\n\r\n", Framing.LENGTH, 0, 0),
+    ],
+)
+def test_how_a_whole_answer_was_read_is_recorded(rest, framing, declared, body):
+    metrics = Metrics()
+    transport = HttpTransport(PlatformUpstreams(), metrics=metrics)
+    call = UpstreamRequest("GET", "/x", (), b"", True, "r1")
+    answer = SIGNED % b"r1" + rest
+    sent = transport.send(RawUpstream([answer]).address, call, 1000)
+    assert len(b"".join(sent.body)) == body
+    record = sent.record
+    assert (record.framing, record.declared_bytes, record.body_bytes) == (framing, declared, body)
+    assert record.received_bytes == len(answer)
+    assert record.is_whole
+    assert record.exchange == 1
+    closed = framing is Framing.CONNECTION
+    assert record.connection is (ConnectionEnd.CLOSED if closed else ConnectionEnd.OPEN)
+    labels = {"framing": framing.value, "connection": record.connection.value, "end": "whole"}
+    assert metrics.registry.get_sample_value("cassiahaven_answers_total", labels) == 1
+
+
+@pytest.mark.parametrize(
+    ("answer", "framing"),
+    [
+        (b"HTTP/1.1 200 OK\r\nContent-Le", Framing.UNKNOWN),
+        (WHOLE[:-1], Framing.LENGTH),
+        (CHUNKED + b"2\r\nok\r\n0", Framing.CHUNKS),
+    ],
+)
+def test_how_an_answer_that_ends_early_was_read_is_recorded(answer, framing):
+    metrics = Metrics()
+    upstream = RawUpstream([answer])
+    transport = HttpTransport(HeaderDialect(), metrics=metrics)
+    sent = transport.send(upstream.address, request(idempotent=True), 1000)
+    if not isinstance(sent, SendFailed):
+        with pytest.raises(TransferBroken):
+            b"".join(sent.body)
+    assert (sent.record.framing, sent.record.received_bytes) == (framing, len(answer))
+    assert sent.record.connection is ConnectionEnd.CLOSED
+    assert not sent.record.is_whole
+    labels = {"framing": framing.value, "connection": "closed", "end": "broken"}
+    assert metrics.registry.get_sample_value("cassiahaven_answers_total", labels) == 1
+
+
+def test_position_of_a_call_on_its_connection_is_recorded():
+    upstream = RawUpstream([WHOLE, WHOLE], [WHOLE])
+    transport = HttpTransport(HeaderDialect())
+    exchanges = []
+    for idempotent in (True, True, False):
+        sent = transport.send(upstream.address, request(idempotent=idempotent), 1000)
+        assert b"".join(sent.body) == b"ok"
+        exchanges.append(sent.record.exchange)
+    assert exchanges == [1, 2, 1]
+
+
+def test_bytes_behind_an_answer_are_reported(events):
+    upstream = RawUpstream([WHOLE + WHOLE])
+    metrics = Metrics()
+    transport = HttpTransport(HeaderDialect(), metrics=metrics)
+    sent = transport.send(upstream.address, request(idempotent=True), 1000)
+    assert b"".join(sent.body) == b"ok"
+    assert sent.record.surplus_bytes == len(WHOLE)
+    [(event, fields)] = events
+    assert event is LogEvent.UNEXPECTED_BYTES
+    assert fields["place"] == UnexpectedPlace.BEHIND_ANSWER.value
+    labels = {"place": UnexpectedPlace.BEHIND_ANSWER.value}
+    assert metrics.registry.get_sample_value("cassiahaven_unexpected_bytes_total", labels) == 1
+
+
+def test_answer_that_names_another_request_is_reported(events):
+    answer = SIGNED % b"r0" + b"Content-Length: 2\r\n\r\nok"
+    transport = HttpTransport(PlatformUpstreams())
+    call = UpstreamRequest("GET", "/x", (), b"", True, "r1")
+    sent = transport.send(RawUpstream([answer]).address, call, 1000)
+    assert sent.result is CallResult.CONNECTION_LOST
+    [(event, fields)] = events
+    assert event is LogEvent.UNEXPECTED_BYTES
+    assert fields["place"] == UnexpectedPlace.IN_PLACE_OF_ANSWER.value
+    assert (fields["request"], fields["named"]) == ("r1", "r0")
+
+
+def test_answer_that_arrives_on_an_idle_connection_is_reported():
+    script = """
+import eventlet; eventlet.monkey_patch()
+import json, sys
+from cassiahaven_core.edge import UpstreamRequest
+from cassiahaven_core.pool import EndpointAddress
+from cassiahaven_entry import http_transport
+from cassiahaven_entry.header_dialect import HeaderDialect
+lines = []
+http_transport.log = lambda event, **fields: lines.append(fields)
+transport = http_transport.HttpTransport(HeaderDialect())
+address = EndpointAddress("e", "1", "z", "127.0.0.1", int(sys.argv[1]), 1)
+for _ in range(2):
+    sent = transport.send(address, UpstreamRequest("GET", "/", (), b"", True), 3000)
+    b"".join(sent.body)
+    eventlet.sleep(0.5)
+print(json.dumps(lines))
+"""
+    with socket.create_server(("127.0.0.1", 0)) as listener:
+
+        def serve():
+            for _ in range(2):
+                connection, _ = listener.accept()
+                connection.recv(65536)
+                connection.sendall(WHOLE)
+                time.sleep(0.2)
+                connection.sendall(WHOLE)
+
+        threading.Thread(target=serve, daemon=True).start()
+        port = listener.getsockname()[1]
+        command = [sys.executable, "-W", "ignore", "-c", script, str(port)]
+        done = subprocess.run(command, capture_output=True, text=True, check=False, timeout=30)
+    [line] = json.loads(done.stdout or done.stderr)
+    assert line["place"] == UnexpectedPlace.IDLE_CONNECTION.value
+    assert line["start"] == WHOLE.decode()
