Read no body behind a head that has none

Callers saw: an answer with status 204 or 304 whose head announces chunks was passed on with a body, or, if nothing followed, failed at its deadline.

Cause: such an answer ends with its head, whatever its headers announce. The HTTP client sets its length to 0 for these statuses, but reads chunks if the head names them.

Evidence: test_chunks_behind_a_head_without_a_body_are_not_a_body failed in all four cases without the change (two handed out a body of 3 bytes, two timed out).

The response now ends with its head for these statuses, so nothing behind it is read as its body.

--- a/packages/cassiahaven-entry/cassiahaven_entry/_connection.py
+++ b/packages/cassiahaven-entry/cassiahaven_entry/_connection.py
@@ -6,6 +6,7 @@
 import socket
 from collections.abc import Callable
 from functools import partial
+from http import HTTPStatus
 from http.client import HTTPException, HTTPResponse
 from typing import Any
 
@@ -21,6 +22,7 @@
 LONGEST_LOGGED_BYTES = 200
 SHORTEST_TIMEOUT_S = 0.001  # 0 would make the socket non-blocking
 DIGITS = re.compile(r"[0-9]+")
+BODILESS_STATUSES = frozenset({HTTPStatus.NO_CONTENT, HTTPStatus.NOT_MODIFIED})
 
 
 class _AnswerBytes(io.RawIOBase):
@@ -99,6 +101,10 @@
         if len(lengths) + len(codings) > 1 or is_length_malformed or (codings and not self.chunked):
             raise HTTPException(f"unreadable framing: {lengths} {codings}")
         self._bytes.may_end = self.length is None and not self.chunked
+        if self.chunked and self.status in BODILESS_STATUSES:
+            # The library would read chunks, which such a response does not have.
+            self.chunked = False
+            self._close_conn()
 
     def _close_conn(self) -> None:
         if not self.fp.closed:
--- a/packages/cassiahaven-entry/cassiahaven_entry/http_transport.py
+++ b/packages/cassiahaven-entry/cassiahaven_entry/http_transport.py
@@ -28,7 +28,7 @@
     UpstreamTransport,
 )
 from cassiahaven_core.pool import CallResult, EndpointAddress, LoadReport, ProbeFailed
-from cassiahaven_entry._connection import PeekingConnection
+from cassiahaven_entry._connection import BODILESS_STATUSES, PeekingConnection
 from cassiahaven_entry.event import LogEvent, log
 from cassiahaven_entry.metrics import Metrics
 
@@ -41,7 +41,6 @@
 DISCARD_TIMEOUT_MS = 20.0  # a short body arrives together with its headers
 MOST_POOLED_CONNECTIONS = 32
 MS_PER_S = 1000.0
-BODILESS_STATUSES = frozenset({204, 304})
 HOP_BY_HOP = frozenset(
     {
         "connection",
--- /dev/null
+++ b/tests/test_answer_scripts.py
@@ -0,0 +1,68 @@
+"""Answers on kept connections: late, repeated, cut off and without a body."""
+
+from hashlib import sha256
+
+import pytest
+
+from cassiahaven_standins.answer_framing import FRAMING_BY_NAME, FramedAnswer
+from cassiahaven_standins.answer_scripts import (
+    SIGNATURE,
+    End,
+    ScriptedAnswer,
+    script_runner,
+)
+
+PAUSE_S = 0.05
+
+
+@pytest.fixture(scope="module")
+def runner():
+    with script_runner() as runner:
+        yield runner
+
+
+def headers_for(call_id):
+    return {"Request-Id": call_id, "Response-Signature": SIGNATURE}
+
+
+def exchange(call_id, *pieces, method="GET", is_probe=False, end=End.KEEP, pause_s=0.0):
+    """Return a call, and the pieces that are sent for it: bytes, or pauses in seconds."""
+    call = {
+        "id": call_id,
+        "is_probe": is_probe,
+        "method": method,
+        "is_idempotent": True,
+        "body_bytes": 0,
+        "pause_s": pause_s,
+        "timeout_ms": 2000.0,
+    }
+    scripted = ScriptedAnswer(call_id, call, "", FramedAnswer(b"", 0), b"", 0, end=end)
+    before_s = 0.0
+    for piece in pieces:
+        if isinstance(piece, bytes):
+            scripted.pieces.append((before_s, piece))
+            before_s = 0.0
+        else:
+            before_s += piece
+    return scripted
+
+
+def encode(call_id, body, *, status="200 OK", framing="length", headers=None):
+    if headers is None:
+        headers = headers_for(call_id)
+    return FRAMING_BY_NAME[framing].encode(status, headers, body).data
+
+
+def handed_out(status, body):
+    return [status, len(body), sha256(body).hexdigest()]
+
+
+@pytest.mark.parametrize("status", ["204 No Content", "304 Not Modified"])
+@pytest.mark.parametrize("has_chunks", [True, False])
+def test_chunks_behind_a_head_without_a_body_are_not_a_body(runner, status, has_chunks):
+    # A body was passed on behind a head that has none; without chunks the call timed out.
+    answer = encode("b0", b"abc" if has_chunks else b"", status=status, framing="chunks")
+    if not has_chunks:
+        answer = answer.removesuffix(b"0\r\n\r\n")
+    results = runner.results([[exchange("b0", answer)]])
+    assert results == [[handed_out(int(status[:3]), b"")]]
