Reject a head within which another response begins

Callers saw: on a kept connection, the status of a late answer with the headers and the body of the answer to the next request; for instance a success made of a late 200 and the body of a 500.

Cause: an endpoint that answers a second time, late, may cut that answer within its head. The next answer's status line then continues the cut line, and the two heads are read as one. It names the right request, because the second answer's id is the last one in it.

Evidence: test_late_answer_cut_in_its_head_does_not_run_into_the_next_one cuts the late answer after each byte of its head; all six combinations of framings failed without the change (a body of a 500 handed out with status 200).

A status line in a value of the head or in its reason now makes the answer an error, like other heads that cannot be read, and its connection is closed. A cut at the end of a line was rejected already, because a status line has no colon.

--- a/packages/cassiahaven-entry/cassiahaven_entry/_connection.py
+++ b/packages/cassiahaven-entry/cassiahaven_entry/_connection.py
@@ -22,6 +22,7 @@
 LONGEST_LOGGED_BYTES = 200
 SHORTEST_TIMEOUT_S = 0.001  # 0 would make the socket non-blocking
 DIGITS = re.compile(r"[0-9]+")
+STATUS_LINE = re.compile(r"HTTP/[0-9]\.[0-9] +[0-9]{3}")
 BODILESS_STATUSES = frozenset({HTTPStatus.NO_CONTENT, HTTPStatus.NOT_MODIFIED})
 
 
@@ -72,7 +73,8 @@
 
     The library takes the end of the connection for the end of the headers, of a chunk's size and
     of the trailers, so an answer that is cut there would look complete. It also ignores headers
-    behind a malformed line, and lengths and transfer codings that it cannot read.
+    behind a malformed line, and lengths and transfer codings that it cannot read. A response that
+    is cut off within its head, and followed by another one, looks like one response.
 
     Args:
         record: Updated with what is received.
@@ -95,6 +97,8 @@
         super().begin()
         if self.msg.defects or self.msg.get_payload():
             raise HTTPException("malformed headers")
+        if any(STATUS_LINE.search(text) for text in (self.reason, *self.msg.values())):
+            raise HTTPException("another response begins within the head")
         lengths = self.msg.get_all("content-length", [])
         codings = self.msg.get_all("transfer-encoding", [])
         is_length_malformed = any(not DIGITS.fullmatch(length.strip()) for length in lengths)
--- a/tests/test_answer_scripts.py
+++ b/tests/test_answer_scripts.py
@@ -66,3 +66,25 @@
         answer = answer.removesuffix(b"0\r\n\r\n")
     results = runner.results([[exchange("b0", answer)]])
     assert results == [[handed_out(int(status[:3]), b"")]]
+
+
+@pytest.mark.parametrize("late_framing", ["length", "connection"])
+@pytest.mark.parametrize("framing", ["length", "chunks", "connection"])
+def test_late_answer_cut_in_its_head_does_not_run_into_the_next_one(runner, late_framing, framing):
+    # One head was read from two: the status of the late answer with the body of the next one.
+    end = End.CLOSE if framing == "connection" else End.KEEP
+    failure = "500 Internal Server Error"
+    scripts = []
+    for size in range(len(encode("m000.0", b"", framing=late_framing))):
+        first, second = f"m{size:03}.0", f"m{size:03}.1"
+        late = encode(first, b"late", framing=late_framing)[:size]
+        own = encode(second, b"failure", status=failure, framing=framing)
+        scripts.append(
+            [
+                exchange(first, encode(first, b"late")),
+                exchange(second, late, 0.005, own, end=end),
+            ]
+        )
+    own_result = handed_out(500, b"failure")
+    for _, result in runner.results(scripts):
+        assert result in (None, own_result)
