Keep a late answer to a call from passing for a probe's

Callers saw: a failure that was the endpoint's answer to a health probe (in the test a 404), as the answer to their own request.

Cause: an answer that arrives a second time, late, on a kept connection names its request; probes name none, so the check of calls was not made for them. The late answer passed for the probe's, the endpoint for idle, and the connection stayed in the pool with the probe's real answer still to come. That one names no request, so the next call took it, unless it was a success, which needs a signature.

Evidence: test_probe_does_not_take_a_late_answer_for_its_own failed before: the probe reported a load of 0 and the next call was handed out [404, 2 bytes].

A probe whose response names a request fails, and its connection is closed; it is counted and logged as unexpected bytes in place of an answer.

--- a/packages/cassiahaven-entry/cassiahaven_entry/http_transport.py
+++ b/packages/cassiahaven-entry/cassiahaven_entry/http_transport.py
@@ -178,11 +178,12 @@
     ) -> LoadReport | ProbeFailed:
         """Request an endpoint's health path and return the load that it reports."""
         request = UpstreamRequest("GET", path, (), b"", True)
+        record = AnswerRecord()
         try:
             response = self._pool(address).urlopen(
                 request.method,
                 path,
-                headers=_headers(request, AnswerRecord()),
+                headers=_headers(request, record),
                 retries=False,
                 redirect=False,
                 timeout=urllib3.Timeout(total=timeout_ms / MS_PER_S),
@@ -191,8 +192,19 @@
             )
         except (HTTPError, OSError) as error:
             return ProbeFailed(f"{type(error).__name__}: {error}")
+        value_by_name = _value_by_name(response)
+        named = self._dialect.read_head(response.status, value_by_name, None).request_id
+        if named is not None:
+            response.close()
+            self._report_unexpected(
+                address,
+                UnexpectedPlace.IN_PLACE_OF_ANSWER,
+                named=named,
+                status=response.status,
+                answer=record.to_plain(),
+            )
+            return ProbeFailed("answer belongs to a call")
         _discard(response)
-        value_by_name = {name.lower(): value for name, value in response.headers.items()}
         return self._dialect.read_health(response.status, value_by_name, address.endpoint)
 
     def is_down(self, address: EndpointAddress) -> bool:
@@ -226,7 +238,7 @@
         left_ms: float,
         record: AnswerRecord,
     ) -> SendResult:
-        value_by_name = {name.lower(): value for name, value in response.headers.items()}
+        value_by_name = _value_by_name(response)
         if response.status < HTTPStatus.OK:
             response.close()
             detail = f"interim status {response.status}"
@@ -346,6 +358,10 @@
     return headers
 
 
+def _value_by_name(response: urllib3.BaseHTTPResponse) -> dict[str, str]:
+    return {name.lower(): value for name, value in response.headers.items()}
+
+
 def _discard(response: urllib3.BaseHTTPResponse) -> None:
     """Drain a short body so that its connection can be reused; close the connection otherwise."""
     length = response.headers.get("Content-Length", "")
--- a/tests/test_answer_scripts.py
+++ b/tests/test_answer_scripts.py
@@ -88,3 +88,17 @@
     own_result = handed_out(500, b"failure")
     for _, result in runner.results(scripts):
         assert result in (None, own_result)
+
+
+def test_probe_does_not_take_a_late_answer_for_its_own(runner):
+    # The probe found the endpoint idle, and its own answer went to the call that came next.
+    health = encode("p.1", b"", headers={"Server-Load": "9,0,1"})
+    missing = encode("p.1", b"no", status="404 Not Found", headers={})
+    script = [
+        exchange("p.0", encode("p.0", b"first")),
+        exchange("p.1", encode("p.0", b"first"), PAUSE_S, missing, is_probe=True),
+        exchange("p.2", encode("p.2", b"second")),
+        exchange("p.3", health, is_probe=True),
+    ]
+    results = runner.results([script])
+    assert results == [[handed_out(200, b"first"), None, handed_out(200, b"second"), 9]]
