Close a connection on which bytes follow an answer

Callers saw: a call that could be repeated failed on a kept connection although its endpoint answered it.

Cause: an endpoint may send more behind a complete answer, such as the answer once more. What arrives together with the answer is dropped with the buffer of its response, and the connection went back into the pool. What follows later was read as the head of the next answer. If the drop ends at the end of a repeated answer, the next head is that of another one; ids tell these apart only where the dialect has ids.

Evidence: test_connection_with_bytes_behind_an_answer_is_not_used_again failed before: the second call was lost.

The bytes were counted already (surplus); the pool now closes such a connection, also those to the native store and to the list of VMs, which use the same responses. Refusals and answers to probes that are read only to keep the connection are logged, too.

--- a/packages/cassiahaven-entry/cassiahaven_entry/_connection.py
+++ b/packages/cassiahaven-entry/cassiahaven_entry/_connection.py
@@ -120,7 +120,23 @@
 class WholeResponseConnection(HTTPConnection):
     """Connection that reports truncated answers."""
 
-    response_class = WholeResponse
+    def __init__(self, *args: Any, **options: Any) -> None:
+        super().__init__(*args, **options)
+        self._record_in(AnswerRecord())
+
+    @property
+    def has_surplus(self) -> bool:
+        """Return whether bytes followed the last answer; what follows them is no answer."""
+        return self._record.surplus_bytes > 0
+
+    def close(self) -> None:
+        """Close the connection; another one may be opened in its place."""
+        super().close()
+        self._record_in(AnswerRecord())
+
+    def _record_in(self, record: AnswerRecord) -> None:
+        self._record = record
+        self.response_class = partial(WholeResponse, record=record)
 
 
 class WholeResponsePool(urllib3.HTTPConnectionPool):
@@ -128,6 +144,11 @@
 
     ConnectionCls = WholeResponseConnection
 
+    def _put_conn(self, conn: WholeResponseConnection | None) -> None:
+        if conn is not None and conn.has_surplus:
+            conn.close()
+        super()._put_conn(conn)
+
 
 def whole_response_pools(**options: Any) -> urllib3.PoolManager:
     """Return pools of connections that report truncated answers."""
@@ -211,9 +232,9 @@
 
     def start_exchange(self, record: AnswerRecord) -> None:
         """Record in ``record`` how the next answer is read."""
+        self._record_in(record)
         self._exchanges += 1
         record.exchange = self._exchanges
-        self.response_class = partial(WholeResponse, record=record)
 
     def close(self) -> None:
         """Close the connection; another one may be opened in its place."""
--- a/packages/cassiahaven-entry/cassiahaven_entry/http_transport.py
+++ b/packages/cassiahaven-entry/cassiahaven_entry/http_transport.py
@@ -28,7 +28,7 @@
     UpstreamTransport,
 )
 from cassiahaven_core.pool import CallResult, EndpointAddress, LoadReport, ProbeFailed
-from cassiahaven_entry._connection import BODILESS_STATUSES, PeekingConnection
+from cassiahaven_entry._connection import BODILESS_STATUSES, PeekingConnection, WholeResponsePool
 from cassiahaven_entry.event import LogEvent, log
 from cassiahaven_entry.metrics import Metrics
 
@@ -87,7 +87,7 @@
         return copied
 
 
-class _ConnectionPool(urllib3.HTTPConnectionPool):
+class _ConnectionPool(WholeResponsePool):
     ConnectionCls = PeekingConnection
     on_unexpected_bytes: Callable[[bytes], None] | None = None
 
@@ -205,6 +205,7 @@
             )
             return ProbeFailed("answer belongs to a call")
         _discard(response)
+        self._report_surplus(address, record, None)
         return self._dialect.read_health(response.status, value_by_name, address.endpoint)
 
     def is_down(self, address: EndpointAddress) -> bool:
@@ -259,6 +260,7 @@
             return SendFailed(CallResult.CONNECTION_LOST, detail, record=record)
         if signal.not_run:
             _discard(response)
+            self._report_surplus(address, record, request.request_id)
             result = CallResult.REPLACED if signal.is_misdirected else CallResult.REFUSED
             return SendFailed(result, f"status {response.status}", signal, record)
         if not self._dialect.accepts_unframed and not _has_known_end(
@@ -294,13 +296,7 @@
         else:
             response.release_conn()
             record.is_whole = True
-            if record.surplus_bytes:
-                self._report_unexpected(
-                    address,
-                    UnexpectedPlace.BEHIND_ANSWER,
-                    request=request.request_id,
-                    answer=record.to_plain(),
-                )
+            self._report_surplus(address, record, request.request_id)
         finally:
             self._count(record)
 
@@ -309,6 +305,17 @@
         labels = (record.framing.value, record.connection.value, end)
         self._metrics.answers.labels(*labels).inc()
 
+    def _report_surplus(
+        self, address: EndpointAddress, record: AnswerRecord, request_id: str | None
+    ) -> None:
+        if record.surplus_bytes:
+            self._report_unexpected(
+                address,
+                UnexpectedPlace.BEHIND_ANSWER,
+                request=request_id,
+                answer=record.to_plain(),
+            )
+
     def _report_unexpected(
         self, address: EndpointAddress, place: UnexpectedPlace, **fields: Any
     ) -> None:
--- a/tests/test_answer_scripts.py
+++ b/tests/test_answer_scripts.py
@@ -102,3 +102,13 @@
     ]
     results = runner.results([script])
     assert results == [[handed_out(200, b"first"), None, handed_out(200, b"second"), 9]]
+
+
+def test_connection_with_bytes_behind_an_answer_is_not_used_again(runner):
+    # The start of the second answer was dropped, and its rest was read as the head of the next one.
+    repeated = encode("x.0", b"first")
+    script = [
+        exchange("x.0", repeated + repeated[:10], PAUSE_S, repeated[10:]),
+        exchange("x.1", encode("x.1", b"second")),
+    ]
+    assert runner.results([script]) == [[handed_out(200, b"first"), handed_out(200, b"second")]]
