Take no success that names no request for a call's answer

Callers could see: the success of another request, if an endpoint's late answer names none.

Cause: a response without a request id counted as genuine. The platform's endpoints echo the id of every request, and only the id tells a late answer from the one that is due.

Evidence: test_success_that_names_no_request_is_not_passed_on failed before: the late answer was handed out to the next call. It is shown with an endpoint that leaves the id out, which the protocol does not allow; that users' endpoints do so is not shown.

A success must name the request now, if that has an id. Other statuses are as before.

test_success_counts_only_signed_unencoded_and_for_this_request asserted the opposite for a success without an id. It was written with the adapter, from no observation; the protocol's sentence on echoed ids contradicts it. The assertion is reversed, the one on encodings now names the request so that only the encoding can be the reason, and one is added for requests without an id.

--- a/tests/test_answer_scripts.py
+++ b/tests/test_answer_scripts.py
@@ -112,3 +112,13 @@
         exchange("x.1", encode("x.1", b"second")),
     ]
     assert runner.results([script]) == [[handed_out(200, b"first"), handed_out(200, b"second")]]
+
+
+def test_success_that_names_no_request_is_not_passed_on(runner):
+    # A late answer without an id would pass for the answer to whichever call came next.
+    late = encode("n.0", b"first", headers={"Response-Signature": SIGNATURE})
+    script = [
+        exchange("n.0", encode("n.0", b"first")),
+        exchange("n.1", late, encode("n.1", b"second")),
+    ]
+    assert runner.results([script]) == [[handed_out(200, b"first"), None]]
--- a/tests/test_platform_translation.py
+++ b/tests/test_platform_translation.py
@@ -249,10 +249,12 @@
 
 def test_success_counts_only_signed_unencoded_and_for_this_request():
     assert head(200, Response_Signature="s", Request_Id="r1").is_genuine
-    assert head(200, Response_Signature="s").is_genuine
+    assert not head(200, Response_Signature="s").is_genuine
     assert not head(200, Request_Id="r1").is_genuine
     assert not head(200, Response_Signature="s", Request_Id="r2").is_genuine
-    assert not head(200, Response_Signature="s", Content_Encoding="gzip").is_genuine
+    assert not head(200, Request_Id="r1", Response_Signature="s", Content_Encoding="x").is_genuine
+    anonymous = PlatformUpstreams().read_head(200, {"response-signature": "s"}, None)
+    assert anonymous.is_genuine  # the caller's request had no id to name
 
 
 @pytest.mark.parametrize("status", [408, 429, 503])
