Check where the chunks of an answer begin and end

Callers saw: a body of the right length that was in part the head of another answer, as a whole answer.

Cause: if an endpoint cuts an answer within a chunk and answers again on the same connection, the chunk takes the start of the second head. The HTTP client skips the two bytes behind a chunk without looking, and reads the next line as a size; a line that continues with the value of 'Content-Length: 0' was the last chunk.

The reader of chunks now insists on a line break behind each chunk and on a size in hexadecimal digits. Padding and extensions are still read (test_size_of_a_chunk_may_be_padded_or_extended).

--- a/packages/cassiahaven-entry/cassiahaven_entry/_connection.py
+++ b/packages/cassiahaven-entry/cassiahaven_entry/_connection.py
@@ -23,6 +23,7 @@
 SHORTEST_TIMEOUT_S = 0.001  # 0 would make the socket non-blocking
 DIGITS = re.compile(r"[0-9]+")
 STATUS_LINE = re.compile(r"HTTP/[0-9]\.[0-9] +[0-9]{3}")
+CHUNK_SIZE_LINE = re.compile(rb"([0-9A-Fa-f]+)[ \t]*(;[^\r\n]*)?\r\n")
 BODILESS_STATUSES = frozenset({HTTPStatus.NO_CONTENT, HTTPStatus.NOT_MODIFIED})
 
 
@@ -68,6 +69,43 @@
         super().close()
 
 
+class _ChunkedBytes:
+    """Bytes of a chunked body; raises if a chunk does not begin or end as it should.
+
+    The library skips the two bytes behind a chunk and reads sizes such as ``-1`` or ``0x5``.
+
+    Args:
+        buffered: Bytes of the connection, from the first chunk on.
+    """
+
+    def __init__(self, buffered: io.BufferedReader) -> None:
+        self._buffered = buffered
+        self._last_read = b"\r\n"
+        self._is_in_trailers = False
+
+    def __getattr__(self, name: str) -> Any:
+        return getattr(self._buffered, name)
+
+    def read(self, size: int) -> bytes:
+        """Read bytes of a chunk, or the line break behind it."""
+        self._last_read = self._buffered.read(size)
+        return self._last_read
+
+    def readline(self, limit: int) -> bytes:
+        """Read the line with a chunk's size, or a trailer.
+
+        Raises:
+            HTTPException: The line is no chunk's size, or does not follow a chunk.
+        """
+        line = self._buffered.readline(limit)
+        if not self._is_in_trailers:
+            matched = CHUNK_SIZE_LINE.fullmatch(line)
+            if matched is None or self._last_read != b"\r\n":
+                raise HTTPException(f"malformed chunk before {line[:LONGEST_LOGGED_BYTES]!r}")
+            self._is_in_trailers = int(matched[1], 16) == 0
+        return line
+
+
 class WholeResponse(HTTPResponse):
     """Response whose connection may end only where its framing says that it ends.
 
@@ -109,6 +147,8 @@
             # The library would read chunks, which such a response does not have.
             self.chunked = False
             self._close_conn()
+        elif self.chunked:
+            self.fp = _ChunkedBytes(self.fp)
 
     def _close_conn(self) -> None:
         if not self.fp.closed:
--- a/tests/test_answer_framing.py
+++ b/tests/test_answer_framing.py
@@ -161,6 +161,35 @@
     assert send_calls([(data, False)] * 2) == [None, None]
 
 
+MALFORMED_CHUNKS = {
+    "negative size": b"-1\r\nabc\r\n",
+    "signed size": b"+3\r\nabc\r\n",
+    "prefixed size": b"0x3\r\nabc\r\n",
+    "size with an underscore": b"0_3\r\nabc\r\n",
+    "size behind a space": b" 3\r\nabc\r\n",
+    "size without a carriage return": b"3\nabc\r\n",
+    "no line break behind a chunk": b"3\r\nabcXY",
+    "chunk that is longer than its size": b"2\r\nabc\r\n",
+}
+
+
+@pytest.mark.parametrize("fault", MALFORMED_CHUNKS)
+def test_answer_whose_chunks_cannot_be_read_is_not_passed_on(send_calls, fault):
+    # The library skips two bytes behind a chunk unseen, and reads numbers in Python's notation.
+    headers = HEADERS | {"Transfer-Encoding": "chunked"}
+    data = ConnectionFraming().encode("200 OK", headers, MALFORMED_CHUNKS[fault]).data
+    assert send_calls([(data + b"0\r\n\r\n", False)] * 2) == [None, None]
+
+
+@pytest.mark.parametrize("line", [b"3 \r\n", b"03;name=value\r\n", b'3 ; name="a b"\r\n'])
+def test_size_of_a_chunk_may_be_padded_or_extended(send_calls, line):
+    # Endpoints may fill up the line of a chunk's size, or add to it.
+    headers = HEADERS | {"Transfer-Encoding": "chunked"}
+    chunks = line + b"abc\r\n0\r\n\r\n"
+    data = ConnectionFraming().encode("200 OK", headers, chunks).data
+    assert send_calls([(data, False)] * 2) == [b"abc", b"abc"]
+
+
 @pytest.mark.parametrize("status", ["101 Switching Protocols", "103 Early Hints"])
 def test_interim_answer_is_not_passed_on_as_the_last_one(send_calls, status):
     interim = f"HTTP/1.1 {status}\r\nRequest-Id: r1\r\n\r\n".encode()
--- a/tests/test_answer_scripts.py
+++ b/tests/test_answer_scripts.py
@@ -122,3 +122,15 @@
         exchange("n.1", late, encode("n.1", b"second")),
     ]
     assert runner.results([script]) == [[handed_out(200, b"first"), None]]
+
+
+def test_answer_cut_in_a_chunk_does_not_end_within_the_one_behind_it(runner):
+    # The chunk took the start of the second head, whose length of 0 was read as the last chunk.
+    body = b"abcdefghij" * 40
+    scripts = []
+    for number in range(120):
+        call_id = f"k{number:03}.0"
+        answer = encode(call_id, body, framing="chunks")
+        cut = len(answer) - number - len(b"0\r\n\r\n")
+        scripts.append([exchange(call_id, answer[:cut], encode(call_id, b""), end=End.CLOSE)])
+    assert runner.results(scripts) == [[None]] * len(scripts)
