Reset a streamed answer to HTTP/1.0 unless it is sent to its end

Callers of HTTP/1.0 could see: a part of a streamed answer without a length as a whole one, when its entry was killed, when anything but a broken transfer ended the body, and when the caller sent no more while it read.

Cause: such an answer ends with its connection. The connection was reset only on the one error that was foreseen; every other end, including the system's closing of a killed process's sockets, was an orderly one.

The order is turned around: the connection is set to be reset before the first byte of such an answer is sent, in the socket itself so that it holds for a killed process, and set back when the whole body was handed over and sent without an error. Answers with a length or in chunks show by themselves that they are not whole and are as before, except that one of HTTP/1.0 with a length that breaks off is no longer reset.

test_answer_that_ends_with_its_connection_is_reset_if_it_breaks_off keeps its two cases and gets a third; the test's Backend raises whichever error a part names.

--- a/packages/cassiahaven-entry/cassiahaven_entry/caller_connection.py
+++ b/packages/cassiahaven-entry/cassiahaven_entry/caller_connection.py
@@ -24,7 +24,9 @@
 LINGER_S = 1.0  # callers close within a round trip of the last answer
 LONGEST_LOGGED_TARGET = 200
 DIGITS = re.compile(r"[0-9]+")
-RESET_ON_CLOSE = struct.pack("ii", 1, 0)  # value of SO_LINGER
+# Values of SO_LINGER.
+RESET_ON_CLOSE = struct.pack("ii", 1, 0)
+SEND_AND_CLOSE = struct.pack("ii", 0, 0)
 
 
 class CallerLeft(BaseException):
@@ -78,6 +80,7 @@
         "_body",
         "_task",
         "_left",
+        "_is_body_whole",
     )
 
     def __init__(
@@ -97,6 +100,7 @@
         self._body = Event()
         self._task: greenlet | None = None
         self._left = False
+        self._is_body_whole = False
 
     def run(self) -> None:
         """Run the request and send its answer when it is due."""
@@ -107,6 +111,8 @@
         self._task = getcurrent()
         try:
             wsgi.HttpProtocol.handle_one_response(self._protocol)
+            if self._is_body_whole and not self._protocol.wfile.has_failed:
+                self._connection.set_resets(False)
         except CallerLeft:
             self._protocol.close_connection = True
         except OSError as error:
@@ -147,13 +153,17 @@
             self._connection.pipeline.record_body(self.number, size)
             self._body.send()
 
-    def break_off(self) -> None:
-        """Reset the connection if nothing else shows that the answer is not whole.
+    def begin_answer(self, *, has_length: bool) -> None:
+        """Reset the connection if it ends before the answer and nothing else would show that.
 
         Before HTTP/1.1 there are no chunks, so an answer without a length ends with its connection.
         """
-        if self._protocol.request_version != "HTTP/1.1":
-            self._connection.resets = True
+        if not has_length and self._protocol.request_version != "HTTP/1.1":
+            self._connection.set_resets(True)
+
+    def end_body(self) -> None:
+        """Record that the whole body has been handed to the server."""
+        self._is_body_whole = True
 
     def end_connection(self) -> None:
         """Close the connection after this answer, unless a later request has been read."""
@@ -187,6 +197,7 @@
     Attributes:
         exchange: The request, ``None`` until its head has been read.
         is_error: Whether this is the answer to a request whose head could not be read.
+        has_failed: Whether a part of the answer could not be sent.
     """
 
     closed = False
@@ -195,13 +206,18 @@
         self._connection = connection
         self.exchange: Exchange | None = None
         self.is_error = False
+        self.has_failed = False
 
     def write(self, data: bytes) -> int:
         if self.exchange is None:
             self.exchange = self._connection.add_error_exchange()
             self.is_error = True
         self.exchange.await_turn()
-        self._connection.connection.sendall(data)
+        try:
+            self._connection.connection.sendall(data)
+        except OSError:
+            self.has_failed = True
+            raise
         return len(data)
 
     def writelines(self, parts: list[bytes]) -> None:
@@ -223,7 +239,7 @@
     Attributes:
         dialect: Protocol that the caller speaks.
         pipeline: Requests that have been read and not answered yet.
-        resets: Whether to end the connection by a reset.
+        resets: Whether the end of the connection is a reset.
     """
 
     def setup(self) -> None:
@@ -326,12 +342,18 @@
         if room is not None:
             room.send()
 
+    def set_resets(self, resets: bool) -> None:
+        """Set whether the end of the connection is a reset, also if the process is killed."""
+        if self.resets == resets:
+            return
+        self.resets = resets
+        value = RESET_ON_CLOSE if resets else SEND_AND_CLOSE
+        self.connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, value)
+
     def finish(self) -> None:
         """Close the connection."""
         # The buffers are not closed: a cancelled request may be about to leave one of them.
-        if self.resets:
-            self.connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
-        else:
+        if not self.resets:
             greenio.shutdown_safe(self.connection)
         self.connection.close()
 
--- a/packages/cassiahaven-entry/cassiahaven_entry/gateway.py
+++ b/packages/cassiahaven-entry/cassiahaven_entry/gateway.py
@@ -6,7 +6,7 @@
 import eventlet
 from eventlet import wsgi
 
-from cassiahaven_core.edge import CallerFrontend, CallRequest, CallResponse, TransferBroken
+from cassiahaven_core.edge import CallerFrontend, CallRequest, CallResponse
 from cassiahaven_core.outcome import NotRun
 from cassiahaven_core.reason import RefusalReason
 from cassiahaven_entry.caller_connection import EXCHANGE, CallerProtocol, Exchange
@@ -178,10 +178,11 @@
     The head is sent with the first part, so that part waits until the answer is the next one due.
     """
 
-    __slots__ = ("_body", "_frontend", "_exchange", "_is_due", "_is_closed")
+    __slots__ = ("_body", "_has_length", "_frontend", "_exchange", "_is_due", "_is_closed")
 
     def __init__(self, response: CallResponse, frontend: HttpFrontend, exchange: Exchange) -> None:
         self._body = response.body
+        self._has_length = any(name.lower() == "content-length" for name, _ in response.headers)
         self._frontend = frontend
         self._exchange = exchange
         self._is_due = False
@@ -196,10 +197,11 @@
             self._is_due = True
             if self._frontend.is_closing:
                 self._exchange.end_connection()
+            self._exchange.begin_answer(has_length=self._has_length)
         try:
             return next(self._body)
-        except TransferBroken:
-            self._exchange.break_off()
+        except StopIteration:
+            self._exchange.end_body()
             raise
 
     def close(self) -> None:
--- a/packages/cassiahaven-entry/tests/test_caller_connection.py
+++ b/packages/cassiahaven-entry/tests/test_caller_connection.py
@@ -3,6 +3,9 @@
 Server and callers run as green threads of one hub.
 """
 
+import subprocess
+import sys
+
 import eventlet
 import pytest
 from eventlet.event import Event
@@ -72,8 +75,8 @@
         for part in body:
             if isinstance(part, Event):
                 part.wait()
-            elif part is TransferBroken:
-                raise TransferBroken("cut")
+            elif isinstance(part, type):
+                raise part("cut")
             else:
                 yield part
 
@@ -351,17 +354,60 @@
     assert sorted(backend.left) == ["/b", "/order"]
 
 
-@pytest.mark.parametrize("breaks_off", [False, True])
-def test_answer_that_ends_with_its_connection_is_reset_if_it_breaks_off(
-    backend, connect, breaks_off
-):
+@pytest.mark.parametrize("error", [None, TransferBroken, RuntimeError])
+def test_answer_that_ends_with_its_connection_is_reset_if_it_breaks_off(backend, connect, error):
     # An orderly end looked like that of a whole answer: before HTTP/1.1 there are no chunks.
-    rest = TransferBroken if breaks_off else b"y" * 5000
-    backend.body_by_target["/now"] = [b"x" * 5000, rest]
+    backend.body_by_target["/now"] = [b"x" * 5000, error or b"y" * 5000]
+    backend.targets_without_length.add("/now")
+    caller = connect()
+    caller.socket.sendall(b"GET /now HTTP/1.0\r\nHost: h\r\n\r\n")
+    assert caller.is_reset() == (error is not None)
+
+
+def test_answer_that_ends_with_its_connection_is_reset_if_its_caller_sends_no_more(
+    backend, connect
+):
+    # The call is cancelled when its caller seems to leave; the part that was sent looked whole.
+    backend.body_by_target["/now"] = [b"x" * 5000, Event()]
     backend.targets_without_length.add("/now")
     caller = connect()
     caller.socket.sendall(b"GET /now HTTP/1.0\r\nHost: h\r\n\r\n")
-    assert caller.is_reset() == breaks_off
+    caller.socket.recv(65536)
+    caller.socket.shutdown(socket.SHUT_WR)
+    assert caller.is_reset()
+
+
+STREAM_WITHOUT_END = """
+import eventlet; eventlet.monkey_patch()
+from cassiahaven_core.edge import CallResponse
+from cassiahaven_entry.gateway import HttpFrontend
+from cassiahaven_entry.native_callers import NativeCallers
+from cassiahaven_entry.caller_dialect import CallHead
+class Callers(NativeCallers):
+    def __init__(self): pass
+    def respond_locally(self, environ): return None
+    def read_head(self, environ): return CallHead("s", "/", None, None, None, 0)
+def body():
+    yield b"x" * 5000
+    eventlet.sleep(60)
+frontend = HttpFrontend("127.0.0.1", 0, dialect=Callers())
+print(frontend._socket.getsockname()[1], flush=True)
+frontend.serve(lambda request: CallResponse(200, (), body()))
+"""
+
+
+def test_answer_that_ends_with_its_connection_is_reset_if_its_entry_is_killed():
+    # The system closes the connections of a killed process in an orderly way by default.
+    command = [sys.executable, "-W", "ignore", "-c", STREAM_WITHOUT_END]
+    with subprocess.Popen(command, stdout=subprocess.PIPE, text=True) as entry:
+        port = int(entry.stdout.readline())
+        caller = Caller(port)
+        caller.socket.sendall(b"GET / HTTP/1.0\r\nHost: h\r\n\r\n")
+        received = 0
+        while received < 5000:
+            received += len(caller.socket.recv(65536))
+        entry.kill()
+        assert caller.is_reset()
 
 
 def test_a_stop_answers_what_was_read_and_passes_nothing_further_on(backend, connect, frontend):
