Hold what is handed out against what endpoints mean, over generated scripts

Hypothesis generates scripts of endpoints (late, repeated, cut, reset, interim and bodiless answers, probes, on kept and new connections); what the HTTP transport hands out has to be the answer to that very request, byte for byte, or a failure. An answer without a length whose connection ends in an orderly way counts as whole, as the protocol says.

--- a/tests/test_answer_scripts.py
+++ b/tests/test_answer_scripts.py
@@ -3,12 +3,15 @@
 from hashlib import sha256
 
 import pytest
+from hypothesis import HealthCheck, given, settings
+from hypothesis import strategies as st
 
 from cassiahaven_standins.answer_framing import FRAMING_BY_NAME, FramedAnswer
 from cassiahaven_standins.answer_scripts import (
     SIGNATURE,
     End,
     ScriptedAnswer,
+    new_script,
     script_runner,
 )
 
@@ -134,3 +137,17 @@
         cut = len(answer) - number - len(b"0\r\n\r\n")
         scripts.append([exchange(call_id, answer[:cut], encode(call_id, b""), end=End.CLOSE)])
     assert runner.results(scripts) == [[None]] * len(scripts)
+
+
+@settings(
+    derandomize=True,
+    max_examples=25,
+    deadline=None,
+    database=None,
+    suppress_health_check=[HealthCheck.too_slow, HealthCheck.data_too_large],
+)
+@given(st.lists(st.randoms(use_true_random=False), min_size=1, max_size=25))
+def test_what_is_handed_out_is_what_the_endpoint_means_for_that_request(runner, randoms):
+    # Late, repeated, cut and reset answers in any order were mixed with those that were due.
+    scripts = [new_script(rng, f"s{number}") for number, rng in enumerate(randoms)]
+    assert runner.play(scripts) == []
