--- a/packages/cassiahaven-entry/cassiahaven_entry/_connection.py
+++ b/packages/cassiahaven-entry/cassiahaven_entry/_connection.py
@@ -6,6 +6,7 @@
 import socket
 from collections.abc import Callable
 from functools import partial
+from http import HTTPStatus
 from http.client import HTTPException, HTTPResponse
 from typing import Any
 
@@ -21,6 +22,9 @@
 LONGEST_LOGGED_BYTES = 200
 SHORTEST_TIMEOUT_S = 0.001  # 0 would make the socket non-blocking
 DIGITS = re.compile(r"[0-9]+")
+STATUS_LINE = re.compile(r"HTTP/[0-9]\.[0-9] +[0-9]{3}")
+CHUNK_SIZE_LINE = re.compile(rb"([0-9A-Fa-f]+)[ \t]*(;[^\r\n]*)?\r\n")
+BODILESS_STATUSES = frozenset({HTTPStatus.NO_CONTENT, HTTPStatus.NOT_MODIFIED})
 
 
 class _AnswerBytes(io.RawIOBase):
@@ -65,12 +69,50 @@
         super().close()
 
 
+class _ChunkedBytes:
+    """Bytes of a chunked body; raises if a chunk does not begin or end as it should.
+
+    The library skips the two bytes behind a chunk and reads sizes such as ``-1`` or ``0x5``.
+
+    Args:
+        buffered: Bytes of the connection, from the first chunk on.
+    """
+
+    def __init__(self, buffered: io.BufferedReader) -> None:
+        self._buffered = buffered
+        self._last_read = b"\r\n"
+        self._is_in_trailers = False
+
+    def __getattr__(self, name: str) -> Any:
+        return getattr(self._buffered, name)
+
+    def read(self, size: int) -> bytes:
+        """Read bytes of a chunk, or the line break behind it."""
+        self._last_read = self._buffered.read(size)
+        return self._last_read
+
+    def readline(self, limit: int) -> bytes:
+        """Read the line with a chunk's size, or a trailer.
+
+        Raises:
+            HTTPException: The line is no chunk's size, or does not follow a chunk.
+        """
+        line = self._buffered.readline(limit)
+        if not self._is_in_trailers:
+            matched = CHUNK_SIZE_LINE.fullmatch(line)
+            if matched is None or self._last_read != b"\r\n":
+                raise HTTPException(f"malformed chunk before {line[:LONGEST_LOGGED_BYTES]!r}")
+            self._is_in_trailers = int(matched[1], 16) == 0
+        return line
+
+
 class WholeResponse(HTTPResponse):
     """Response whose connection may end only where its framing says that it ends.
 
     The library takes the end of the connection for the end of the headers, of a chunk's size and
     of the trailers, so an answer that is cut there would look complete. It also ignores headers
-    behind a malformed line, and lengths and transfer codings that it cannot read.
+    behind a malformed line, and lengths and transfer codings that it cannot read. A response that
+    is cut off within its head, and followed by another one, looks like one response.
 
     Args:
         record: Updated with what is received.
@@ -93,12 +135,20 @@
         super().begin()
         if self.msg.defects or self.msg.get_payload():
             raise HTTPException("malformed headers")
+        if any(STATUS_LINE.search(text) for text in (self.reason, *self.msg.values())):
+            raise HTTPException("another response begins within the head")
         lengths = self.msg.get_all("content-length", [])
         codings = self.msg.get_all("transfer-encoding", [])
         is_length_malformed = any(not DIGITS.fullmatch(length.strip()) for length in lengths)
         if len(lengths) + len(codings) > 1 or is_length_malformed or (codings and not self.chunked):
             raise HTTPException(f"unreadable framing: {lengths} {codings}")
         self._bytes.may_end = self.length is None and not self.chunked
+        if self.chunked and self.status in BODILESS_STATUSES:
+            # The library would read chunks, which such a response does not have.
+            self.chunked = False
+            self._close_conn()
+        elif self.chunked:
+            self.fp = _ChunkedBytes(self.fp)
 
     def _close_conn(self) -> None:
         if not self.fp.closed:
@@ -110,7 +160,23 @@
 class WholeResponseConnection(HTTPConnection):
     """Connection that reports truncated answers."""
 
-    response_class = WholeResponse
+    def __init__(self, *args: Any, **options: Any) -> None:
+        super().__init__(*args, **options)
+        self._record_in(AnswerRecord())
+
+    @property
+    def has_surplus(self) -> bool:
+        """Return whether bytes followed the last answer; what follows them is no answer."""
+        return self._record.surplus_bytes > 0
+
+    def close(self) -> None:
+        """Close the connection; another one may be opened in its place."""
+        super().close()
+        self._record_in(AnswerRecord())
+
+    def _record_in(self, record: AnswerRecord) -> None:
+        self._record = record
+        self.response_class = partial(WholeResponse, record=record)
 
 
 class WholeResponsePool(urllib3.HTTPConnectionPool):
@@ -118,6 +184,11 @@
 
     ConnectionCls = WholeResponseConnection
 
+    def _put_conn(self, conn: WholeResponseConnection | None) -> None:
+        if conn is not None and conn.has_surplus:
+            conn.close()
+        super()._put_conn(conn)
+
 
 def whole_response_pools(**options: Any) -> urllib3.PoolManager:
     """Return pools of connections that report truncated answers."""
@@ -201,9 +272,9 @@
 
     def start_exchange(self, record: AnswerRecord) -> None:
         """Record in ``record`` how the next answer is read."""
+        self._record_in(record)
         self._exchanges += 1
         record.exchange = self._exchanges
-        self.response_class = partial(WholeResponse, record=record)
 
     def close(self) -> None:
         """Close the connection; another one may be opened in its place."""
--- a/packages/cassiahaven-entry/cassiahaven_entry/http_transport.py
+++ b/packages/cassiahaven-entry/cassiahaven_entry/http_transport.py
@@ -28,7 +28,7 @@
     UpstreamTransport,
 )
 from cassiahaven_core.pool import CallResult, EndpointAddress, LoadReport, ProbeFailed
-from cassiahaven_entry._connection import PeekingConnection
+from cassiahaven_entry._connection import BODILESS_STATUSES, PeekingConnection, WholeResponsePool
 from cassiahaven_entry.event import LogEvent, log
 from cassiahaven_entry.metrics import Metrics
 
@@ -41,7 +41,6 @@
 DISCARD_TIMEOUT_MS = 20.0  # a short body arrives together with its headers
 MOST_POOLED_CONNECTIONS = 32
 MS_PER_S = 1000.0
-BODILESS_STATUSES = frozenset({204, 304})
 HOP_BY_HOP = frozenset(
     {
         "connection",
@@ -88,7 +87,7 @@
         return copied
 
 
-class _ConnectionPool(urllib3.HTTPConnectionPool):
+class _ConnectionPool(WholeResponsePool):
     ConnectionCls = PeekingConnection
     on_unexpected_bytes: Callable[[bytes], None] | None = None
 
@@ -179,11 +178,12 @@
     ) -> LoadReport | ProbeFailed:
         """Request an endpoint's health path and return the load that it reports."""
         request = UpstreamRequest("GET", path, (), b"", True)
+        record = AnswerRecord()
         try:
             response = self._pool(address).urlopen(
                 request.method,
                 path,
-                headers=_headers(request, AnswerRecord()),
+                headers=_headers(request, record),
                 retries=False,
                 redirect=False,
                 timeout=urllib3.Timeout(total=timeout_ms / MS_PER_S),
@@ -192,8 +192,20 @@
             )
         except (HTTPError, OSError) as error:
             return ProbeFailed(f"{type(error).__name__}: {error}")
+        value_by_name = _value_by_name(response)
+        named = self._dialect.read_head(response.status, value_by_name, None).request_id
+        if named is not None:
+            response.close()
+            self._report_unexpected(
+                address,
+                UnexpectedPlace.IN_PLACE_OF_ANSWER,
+                named=named,
+                status=response.status,
+                answer=record.to_plain(),
+            )
+            return ProbeFailed("answer belongs to a call")
         _discard(response)
-        value_by_name = {name.lower(): value for name, value in response.headers.items()}
+        self._report_surplus(address, record, None)
         return self._dialect.read_health(response.status, value_by_name, address.endpoint)
 
     def is_down(self, address: EndpointAddress) -> bool:
@@ -227,7 +239,7 @@
         left_ms: float,
         record: AnswerRecord,
     ) -> SendResult:
-        value_by_name = {name.lower(): value for name, value in response.headers.items()}
+        value_by_name = _value_by_name(response)
         if response.status < HTTPStatus.OK:
             response.close()
             detail = f"interim status {response.status}"
@@ -248,6 +260,7 @@
             return SendFailed(CallResult.CONNECTION_LOST, detail, record=record)
         if signal.not_run:
             _discard(response)
+            self._report_surplus(address, record, request.request_id)
             result = CallResult.REPLACED if signal.is_misdirected else CallResult.REFUSED
             return SendFailed(result, f"status {response.status}", signal, record)
         if not self._dialect.accepts_unframed and not _has_known_end(
@@ -283,13 +296,7 @@
         else:
             response.release_conn()
             record.is_whole = True
-            if record.surplus_bytes:
-                self._report_unexpected(
-                    address,
-                    UnexpectedPlace.BEHIND_ANSWER,
-                    request=request.request_id,
-                    answer=record.to_plain(),
-                )
+            self._report_surplus(address, record, request.request_id)
         finally:
             self._count(record)
 
@@ -298,6 +305,17 @@
         labels = (record.framing.value, record.connection.value, end)
         self._metrics.answers.labels(*labels).inc()
 
+    def _report_surplus(
+        self, address: EndpointAddress, record: AnswerRecord, request_id: str | None
+    ) -> None:
+        if record.surplus_bytes:
+            self._report_unexpected(
+                address,
+                UnexpectedPlace.BEHIND_ANSWER,
+                request=request_id,
+                answer=record.to_plain(),
+            )
+
     def _report_unexpected(
         self, address: EndpointAddress, place: UnexpectedPlace, **fields: Any
     ) -> None:
@@ -347,6 +365,10 @@
     return headers
 
 
+def _value_by_name(response: urllib3.BaseHTTPResponse) -> dict[str, str]:
+    return {name.lower(): value for name, value in response.headers.items()}
+
+
 def _discard(response: urllib3.BaseHTTPResponse) -> None:
     """Drain a short body so that its connection can be reused; close the connection otherwise."""
     length = response.headers.get("Content-Length", "")
