Add a rig that spoils endpoints' answers and compares what callers get

Real entries, kept and pipelined connections, answers cut in every part and ended in every way, second, interim and early answers, addresses that move, links cut and segments re-formed. Not yet run at length.

--- a/packages/cassiahaven-standins/cassiahaven_standins/answer_framing.py
+++ b/packages/cassiahaven-standins/cassiahaven_standins/answer_framing.py
@@ -17,11 +17,34 @@
         data: The head, and the body with its framing.
         head_size: Length of the head, bytes.
         ends_with_connection: Whether only the end of the connection tells where the answer ends.
+        interim_size: Length of the interim answers in front of the head, which it includes.
+        is_chunked: Whether the body is sent in chunks.
     """
 
     data: bytes
     head_size: int
     ends_with_connection: bool = False
+    interim_size: int = 0
+    is_chunked: bool = False
+
+    def parts_by_name(self) -> dict[str, list[range]]:
+        """Return the positions of each kind of part."""
+        status_end = self.data.index(b"\r\n", self.interim_size) + 2
+        head = {"status line": [range(status_end)], "head": [range(status_end, self.head_size)]}
+        if not self.is_chunked:
+            body = range(self.head_size, len(self.data))
+            return head | ({"body": [body]} if body else {})
+        sizes, chunks, at = [], [], self.head_size
+        while True:
+            line_end = self.data.index(b"\r\n", at) + 2
+            sizes.append(range(at, line_end))
+            length = int(self.data[at:line_end].partition(b";")[0], 16)
+            if not length:
+                trailers = [range(line_end, len(self.data))]
+                found = {"chunk size": sizes, "chunk": chunks, "trailers": trailers}
+                return head | {name: parts for name, parts in found.items() if parts}
+            at = line_end + length + 2
+            chunks.append(range(line_end, at))
 
 
 class Framing(ABC):
@@ -30,13 +53,38 @@
     version = "HTTP/1.1"
     interim = b""
     ends_with_connection = False
-
-    def encode(self, status: str, headers: dict[str, str], body: bytes) -> FramedAnswer:
-        """Return an answer in this framing."""
-        lines = [f"{name}: {value}" for name, value in (headers | self.headers(body)).items()]
+    is_chunked = False
+
+    def encode(
+        self,
+        status: str,
+        headers: dict[str, str],
+        body: bytes,
+        *,
+        framing_first: bool = False,
+        interim: bytes = b"",
+    ) -> FramedAnswer:
+        """Return an answer in this framing.
+
+        Args:
+            status: Status code and reason.
+            headers: Headers other than those that announce the framing.
+            body: The whole body.
+            framing_first: Whether the headers that announce the framing precede the others.
+            interim: Sent in front of the answer.
+        """
+        added = self.headers(body)
+        ordered = added | headers if framing_first else headers | added
+        lines = [f"{name}: {value}" for name, value in ordered.items()]
         head = "\r\n".join([f"{self.version} {status}", *lines, "", ""]).encode()
-        data = self.interim + head + self.frame(body)
-        return FramedAnswer(data, len(self.interim + head), self.ends_with_connection)
+        interim += self.interim
+        return FramedAnswer(
+            interim + head + self.frame(body),
+            len(interim + head),
+            self.ends_with_connection,
+            len(interim),
+            self.is_chunked,
+        )
 
     @abstractmethod
     def headers(self, body: bytes) -> dict[str, str]:
@@ -67,7 +115,17 @@
 class ChunkedFraming(Framing):
     """Send the body in chunks."""
 
-    def __init__(self, *, size: str = "{:x}", extension: str = "", trailers: bytes = b""):
+    is_chunked = True
+
+    def __init__(
+        self,
+        *,
+        size: str = "{:x}",
+        extension: str = "",
+        trailers: bytes = b"",
+        chunk_bytes: int = 0,
+    ):
+        self._chunk_bytes = chunk_bytes
         self._size = size
         self._extension = extension
         self._trailers = trailers
@@ -78,7 +136,7 @@
 
     def frame(self, body: bytes) -> bytes:
         """Return the chunks, and the trailers."""
-        starts = range(0, len(body), max(CHUNK_BYTES, len(body) // 4))
+        starts = range(0, len(body), self._chunk_bytes or max(CHUNK_BYTES, len(body) // 4))
         chunks = [body[start : start + starts.step] for start in starts]
         sent = [self._line(chunk) + chunk + b"\r\n" for chunk in chunks]
         return b"".join([*sent, self._line(b""), self._trailers, b"\r\n"])
--- a/packages/cassiahaven-standins/cassiahaven_standins/link_proxy.py
+++ b/packages/cassiahaven-standins/cassiahaven_standins/link_proxy.py
@@ -68,10 +68,13 @@
                 client.close()
                 continue
             self._open_sockets += [client, server]
-            for source, sink, is_from_target in ((client, server, False), (server, client, True)):
-                threading.Thread(
-                    target=self._forward, args=(source, sink, is_from_target), daemon=True
-                ).start()
+            self._serve(client, server)
+
+    def _serve(self, client: socket.socket, server: socket.socket) -> None:
+        for source, sink, is_from_target in ((client, server, False), (server, client, True)):
+            threading.Thread(
+                target=self._forward, args=(source, sink, is_from_target), daemon=True
+            ).start()
 
     def _forward(self, source: socket.socket, sink: socket.socket, is_from_target: bool) -> None:
         try:
--- a/packages/cassiahaven-standins/cassiahaven_standins/pipelining_caller.py
+++ b/packages/cassiahaven-standins/cassiahaven_standins/pipelining_caller.py
@@ -5,17 +5,44 @@
 from dataclasses import dataclass
 from typing import BinaryIO
 
+from cassiahaven_standins.answer_framing import ChunkedFraming
+
 TIMEOUT_S = 10.0
 
 
 @dataclass(frozen=True, slots=True)
 class PipelinedRequest:
-    """One request of a batch."""
+    """One request of a batch.
+
+    Attributes:
+        chunk_bytes: Length of the chunks in which the body is sent; 0 to send its length instead.
+    """
 
     method: str
     target: str
     request: str
     body: bytes = b""
+    version: str = "HTTP/1.1"
+    chunk_bytes: int = 0
+    closes: bool = False
+
+    def encode(self, *, deadline_ms: int) -> bytes:
+        """Return the request as it is sent."""
+        lines = [
+            f"{self.method} {self.target} {self.version}",
+            "Host: h.example",
+            f"Request-Id: {self.request}",
+            f"Deadline-Ms: {deadline_ms}",
+        ]
+        if self.closes:
+            lines.append("Connection: close")
+        body = self.body
+        if self.chunk_bytes:
+            lines.append("Transfer-Encoding: chunked")
+            body = ChunkedFraming(chunk_bytes=self.chunk_bytes).frame(body)
+        elif body:
+            lines.append(f"Content-Length: {len(body)}")
+        return "\r\n".join([*lines, "", ""]).encode() + body
 
 
 class _Connection:
@@ -64,7 +91,9 @@
         try:
             if self._connection is None:
                 self._connection = _Connection(self._port)
-            self._connection.socket.sendall(b"".join(self._encode(item) for item in batch))
+            self._connection.socket.sendall(
+                b"".join(item.encode(deadline_ms=self._deadline_ms) for item in batch)
+            )
             for item in batch:
                 response = http.client.HTTPResponse(self._connection, method=item.method)
                 response.begin()
@@ -81,13 +110,3 @@
         connection, self._connection = self._connection, None
         if connection is not None:
             connection.close()
-
-    def _encode(self, item: PipelinedRequest) -> bytes:
-        head = (
-            f"{item.method} {item.target} HTTP/1.1\r\n"
-            "Host: h.example\r\n"
-            f"Request-Id: {item.request}\r\n"
-            f"Deadline-Ms: {self._deadline_ms}\r\n"
-        )
-        length = f"Content-Length: {len(item.body)}\r\n" if item.body else ""
-        return f"{head}{length}\r\n".encode() + item.body
--- a/packages/cassiahaven-standins/cassiahaven_standins/platform_endpoint.py
+++ b/packages/cassiahaven-standins/cassiahaven_standins/platform_endpoint.py
@@ -83,7 +83,9 @@
         self.rate_limit = value
 
 
-class _Handler(BaseHTTPRequestHandler):
+class EndpointHandler(BaseHTTPRequestHandler):
+    """Answer health checks, and run requests that name this endpoint."""
+
     protocol_version = "HTTP/1.1"
     state: EndpointState
 
@@ -93,7 +95,7 @@
 
     def handle_request(self) -> None:
         state = self.state
-        body = self.rfile.read(int(self.headers.get("Content-Length") or 0))
+        body = self.read_body()
         endless_response = (
             state.endless_health_response if self.path == "/health" else state.endless_response
         )
@@ -121,6 +123,16 @@
             self._work(request)
         finally:
             state.running -= 1
+        self.respond(request, body)
+
+    do_GET = do_POST = do_PUT = do_DELETE = handle_request
+
+    def read_body(self) -> bytes:
+        return self.rfile.read(int(self.headers.get("Content-Length") or 0))
+
+    def respond(self, request: str, body: bytes) -> None:
+        """Answer a request that was run."""
+        state = self.state
         if state.fault == "reset":
             self.close_connection = True
             self.connection.close()
@@ -137,8 +149,6 @@
             return
         self._send(status, response_body, response_headers)
 
-    do_GET = do_POST = do_PUT = do_DELETE = handle_request
-
     def _work(self, request: str) -> None:
         deadline_s = time.monotonic() + self.state.service_time_s
         self.connection.setblocking(False)
@@ -258,19 +268,32 @@
 class PlatformEndpoint:
     """An endpoint that listens on loopback."""
 
-    def __init__(self, endpoint: str, service: str, zone: str) -> None:
-        self.state = EndpointState(endpoint, service)
+    def __init__(
+        self,
+        endpoint: str,
+        service: str,
+        zone: str,
+        *,
+        state: EndpointState | None = None,
+        handler: type[EndpointHandler] = EndpointHandler,
+    ) -> None:
+        self.state = state or EndpointState(endpoint, service)
         self.zone = zone
-        handler = type("Handler", (_Handler,), {"state": self.state})
+        handler = type("Handler", (handler,), {"state": self.state})
         self._server = QuietServer(("127.0.0.1", 0), handler)
         threading.Thread(target=self._server.serve_forever, daemon=True).start()
 
+    @property
+    def address(self) -> str:
+        """Return the address as host and port."""
+        host, port = self._server.server_address
+        return f"{host}:{port}"
+
     def registration(self, state: str = "ready") -> dict[str, Any]:
         """Return the endpoint's registration in the store."""
-        host, port = self._server.server_address
         return {
             "service": self.state.service,
-            "address": f"{host}:{port}",
+            "address": self.address,
             "zone": self.zone,
             "version": "v1",
             "slots": 8,
--- a/packages/cassiahaven-standins/cassiahaven_standins/platform_fleet.py
+++ b/packages/cassiahaven-standins/cassiahaven_standins/platform_fleet.py
@@ -24,14 +24,23 @@
     """One entry process with a settings file in the platform's format."""
 
     def __init__(
-        self, name: str, zone: str, store: str, folder: Path, *, grace_ms: int = GRACE_MS
+        self,
+        name: str,
+        zone: str,
+        store: str,
+        folder: Path,
+        *,
+        grace_ms: int = GRACE_MS,
+        python: str = sys.executable,
     ) -> None:
         self.name = name
         self.zone = zone
         self._grace_ms = grace_ms
+        self._python = python
         self._path = folder / f"{name}.json"
         self.log_path = folder / f"{name}.log"
         front, ready, directory, peers, self.metrics_port = (free_port() for _ in range(5))
+        self.peer_port = peers
         self.front_port, self.ready_port, self.directory_port = front, ready, directory
         self._path.write_text(json.dumps(self._settings(store, peers)))
         self.process: subprocess.Popen | None = None
@@ -67,7 +76,7 @@
             "EVENTLET_NO_GREENDNS": "yes",
             "CASSIAHAVEN_METRICS_PORT": str(self.metrics_port),
         }
-        command = [sys.executable, "-m", "cassiahaven_entry.routed_main", "cassiahaven_platform"]
+        command = [self._python, "-m", "cassiahaven_entry.routed_main", "cassiahaven_platform"]
         with self.log_path.open("ab") as log:
             self.process = subprocess.Popen(
                 command, env=environment, stdout=log, stderr=subprocess.STDOUT
@@ -119,7 +128,13 @@
 
 
 class PlatformFleet:
-    """A store, endpoints and entries, with the operator's actions on them."""
+    """A store, endpoints and entries, with the operator's actions on them.
+
+    Args:
+        has_proxies: Whether each entry reaches the store through a proxy.
+        has_peer_proxies: Whether the other entries reach each entry through a proxy.
+        python: Interpreter of the entries.
+    """
 
     def __init__(
         self,
@@ -127,7 +142,9 @@
         *,
         entries: int = 2,
         has_proxies: bool = False,
+        has_peer_proxies: bool = False,
         grace_ms: int = GRACE_MS,
+        python: str = sys.executable,
     ) -> None:
         self.store = PlatformStore()
         host, _, port = self.store.address.partition(":")
@@ -141,11 +158,21 @@
                 self.proxies[n].address if self.proxies else self.store.address,
                 folder,
                 grace_ms=grace_ms,
+                python=python,
             )
             for n in range(entries)
         ]
+        self.peer_proxy_by_address = {
+            f"127.0.0.1:{entry.peer_port}": LinkProxy(("127.0.0.1", entry.peer_port))
+            for entry in (self.entries if has_peer_proxies else [])
+        }
+        self.store.state.accept = self._announce_peer_proxies
         self.version = 0
 
+    def _announce_peer_proxies(self, kind: str, spec: Any) -> Any:
+        proxy = self.peer_proxy_by_address.get(spec.get("peers", "")) if spec else None
+        return spec | {"peers": proxy.address} if proxy else spec
+
     @property
     def entry_by_name(self) -> dict[str, Entry]:
         """Return the entries by name."""
@@ -248,7 +275,7 @@
         """Stop all entries, proxies, endpoints and the store."""
         for entry in self.entries:
             entry.close()
-        for proxy in self.proxies:
+        for proxy in [*self.proxies, *self.peer_proxy_by_address.values()]:
             proxy.close()
         for endpoint in self.endpoint_by_name.values():
             endpoint.close()
@@ -256,11 +283,9 @@
 
 
 @contextmanager
-def platform_fleet(
-    folder: Path, *, entries: int = 2, has_proxies: bool = False, grace_ms: int = GRACE_MS
-) -> Iterator[PlatformFleet]:
+def platform_fleet(folder: Path, **options: Any) -> Iterator[PlatformFleet]:
     """Run a fleet against stand-ins of the platform until the block ends."""
-    fleet = PlatformFleet(folder, entries=entries, has_proxies=has_proxies, grace_ms=grace_ms)
+    fleet = PlatformFleet(folder, **options)
     try:
         yield fleet
     finally:
--- a/packages/cassiahaven-standins/cassiahaven_standins/platform_soak.py
+++ b/packages/cassiahaven-standins/cassiahaven_standins/platform_soak.py
@@ -256,7 +256,12 @@
             self.findings.sent.append(sent)
 
     def _inject(self) -> None:
-        faults = [
+        fault = self._random.choice(self._faults())
+        self.findings.faults[fault.__name__.strip("_")] += 1
+        fault()
+
+    def _faults(self) -> list[Callable[[], None]]:
+        return [
             self._kill,
             self._freeze,
             self._terminate,
@@ -272,9 +277,6 @@
             self._delay_links,
             self._cut_links,
         ]
-        fault = self._random.choice(faults)
-        self.findings.faults[fault.__name__.strip("_")] += 1
-        fault()
 
     def _record_fault(self, *entries: Entry) -> None:
         for entry in entries or self.fleet.entries:
--- a/packages/cassiahaven-standins/cassiahaven_standins/platform_store.py
+++ b/packages/cassiahaven-standins/cassiahaven_standins/platform_store.py
@@ -26,6 +26,7 @@
         is_silent: Whether requests get no response until it is cleared.
         loses_watch_answers: Whether the answers to watches are lost, on connections that stay up.
         page_items: Number of objects on a page of a list.
+        accept: Returns the contents to store in place of those that an entry wrote to a kind.
         before_page: Called with the kind and the name after which a page starts, before the page
             is read.
         call_count: Requests so far, including refused ones.
@@ -41,6 +42,7 @@
         self.is_silent = False
         self.loses_watch_answers = False
         self.page_items = 500
+        self.accept: Callable[[str, Any], Any] = lambda kind, spec: spec
         self.before_page: Callable[[str, str], None] = lambda kind, after: None
         self.refused_hosts: set[str] = set()
         self.call_count = 0
@@ -125,7 +127,7 @@
         if (kind, name) in self.state.object_by_key:
             self._send(409, self.state.object_by_key[kind, name])
             return
-        self.state.put(kind, name, body["spec"])
+        self.state.put(kind, name, self.state.accept(kind, body["spec"]))
         self._send(201, self.state.object_by_key[kind, name])
 
     def do_PUT(self) -> None:
@@ -141,7 +143,7 @@
         if expected is not None and expected != known["metadata"]["revision"]:
             self._send(409, known)
             return
-        self.state.put(kind, name, body["spec"])
+        self.state.put(kind, name, self.state.accept(kind, body["spec"]))
         self._send(200, self.state.object_by_key[kind, name])
 
     def do_DELETE(self) -> None:
