--- a/packages/cassiahaven-standins/cassiahaven_standins/platform_answer_rig.py
+++ b/packages/cassiahaven-standins/cassiahaven_standins/platform_answer_rig.py
@@ -40,15 +40,18 @@
 SPOILED_SHARE = 0.3
 CALLERS_PER_ENTRY = 1.5
 LEAST_CALLERS = 8
-SLOW_CALLERS = 6
-SLOW_ANSWER_BYTES = 3_000_000
-SLOW_PAUSE_S = 0.01
+SLOW_CALLERS = 4
+SLOW_ANSWER_BYTES = (900_000, 3_000_000)  # buffered by entries, and streamed
+SLOW_PAUSE_S = 0.05
+SLOW_RECEIVE_BYTES = 32_768  # with larger buffers, an entry would not notice a slow caller
+SLOW_CALLS_IN_TURN = 4  # to one entry
 MEMORY_LIMIT_MB = 300  # as in the platform's settings files
 DEADLINE_MS = 2000
 RETRIES = 2
 LEAVING_SHARE = 0.05
 LEAVING_AFTER_S = (0.0, 0.3)
 CALL_GAP_S = 0.02
+REGISTRATION_DELAY_S = (0.0, 1.0)
 LARGEST_BATCH = 4
 ANSWER_BYTES = (0, 1, 10, 100, 1_000, 1_000, 8_192, 65_536, 70_000, 300_000, 3_000_000)
 BODY_BYTES = (0, 1, 1_000, 300_000)
@@ -75,6 +78,11 @@
     violation: str = ""
     got_bytes: int = 0
 
+    @property
+    def is_retry(self) -> bool:
+        """Return whether the caller had sent the same request under another id."""
+        return self.item.target.split("/")[3] != self.item.request
+
     @property
     def expected(self) -> bytes:
         """Return the whole body of the request's answer."""
@@ -93,14 +101,15 @@
             return ""
         request = answer.headers.get("request-id")
         signature = answer.headers.get("response-signature")
-        if (request, signature) != (self.item.request, f"sig-{self.item.request}"):
-            return "not its own"
         expected = self.expected
-        if answer.body == expected:
-            return ""
+        if request not in (None, self.item.request):
+            return "not its own"
         if len(answer.body) < len(expected) and expected.startswith(answer.body):
             return "ends early"
-        return "other bytes"
+        if answer.body != expected:
+            return "other bytes"
+        is_signed = (request, signature) == (self.item.request, f"sig-{self.item.request}")
+        return "" if is_signed else "other headers"
 
 
 class _Connection:
@@ -112,7 +121,7 @@
 
     def __init__(self, entry: Entry, *, pause_s: float = 0.0) -> None:
         self.is_done = False
-        self._socket = _connect(entry)
+        self._socket = _connect(entry, receive_bytes=SLOW_RECEIVE_BYTES if pause_s else None)
         self._reader = AnswerReader(self._socket, pause_s=pause_s)
 
     def exchange(self, batch: list[PipelinedRequest]) -> list[ReceivedAnswer]:
@@ -142,6 +151,7 @@
         spoils: What endpoints do to the answers that they spoil.
         share: Share of the answers that they spoil.
         has_faults: Whether entries, links and addresses are disturbed.
+        slow_callers: Number of callers that read large answers slowly.
     """
 
     def __init__(
@@ -152,6 +162,7 @@
         spoils: Iterable[Spoil] = tuple(Spoil),
         share: float = SPOILED_SHARE,
         has_faults: bool = True,
+        slow_callers: int = SLOW_CALLERS,
     ) -> None:
         super().__init__(fleet, seed)
         self.calls: list[CheckedCall] = []
@@ -160,6 +171,7 @@
         self._spoils = [item for item in spoils if item is not Spoil.NONE]
         self._share = share
         self._has_faults = has_faults
+        self._slow_callers = slow_callers
 
     def run(self, seconds: float) -> None:
         """Call the fleet for ``seconds``, and let it recover if it was disturbed."""
@@ -171,11 +183,11 @@
         count = max(LEAST_CALLERS, round(CALLERS_PER_ENTRY * len(self.fleet.entries)))
         call = (self._call_once, self._call_in_batches)
         callers = [threading.Thread(target=call[n % 2], args=(n,)) for n in range(count)]
+        callers += [
+            threading.Thread(target=self._call_slowly, args=(count + n,))
+            for n in range(self._slow_callers)
+        ]
         if self._has_faults:
-            callers += [
-                threading.Thread(target=self._call_slowly, args=(count + n,))
-                for n in range(SLOW_CALLERS)
-            ]
             callers.append(threading.Thread(target=self._limit_memory))
         for caller in callers:
             caller.start()
@@ -247,10 +259,16 @@
         if len(others) < 2:
             return
         [service] = set(SERVICE_BY_PREFIX.values()) - {endpoint.state.service}
-        self.fleet.store.state.delete("servers", endpoint.state.endpoint)
+        before = endpoint.state.endpoint
         self._endpoints += 1
         endpoint.become(f"i-{self._endpoints}", service)
-        self.fleet.store.state.put("servers", endpoint.state.endpoint, endpoint.registration())
+
+        def register() -> None:
+            self.fleet.store.state.delete("servers", before)
+            self.fleet.store.state.put("servers", endpoint.state.endpoint, endpoint.registration())
+
+        # Until then, entries take the address for that of the endpoint before.
+        self._schedule(self._random.uniform(*REGISTRATION_DELAY_S), register)
 
     def _add_endpoint(self, service: str) -> None:
         self._endpoints += 1
@@ -302,9 +320,11 @@
         count = 0
         while not self._stop.is_set():
             count += 1
-            position = count // 4 % len(self.fleet.entries)
+            position = count // SLOW_CALLS_IN_TURN % len(self.fleet.entries)
             name = f"s{self._seed}-{number}-{count}"
-            target = mixed_target("download", rng.choice("xy"), name, SLOW_ANSWER_BYTES, 0)
+            target = mixed_target(
+                "download", rng.choice("xy"), name, rng.choice(SLOW_ANSWER_BYTES), 0
+            )
             version = rng.choice(("HTTP/1.1", "HTTP/1.0"))
             item = PipelinedRequest("GET", target, name, version=version, closes=True)
             self._send(self.fleet.entries[position], [item], "slow", pause_s=SLOW_PAUSE_S)
@@ -399,6 +419,13 @@
         return {
             "faults": dict(self.rig.findings.faults),
             "peak_mb": self.rig.peak_mb,
+            "requests": {
+                "misdirected": sum(item.state.misdirected for item in self.rig.endpoints),
+                "health_checks": sum(item.state.health_checks for item in self.rig.endpoints),
+                "health_checks_on_kept_connections": sum(
+                    item.state.kept_health_checks for item in self.rig.endpoints
+                ),
+            },
             "sent": {
                 "answers": len(sent),
                 "by_spoil": _count(item.spoil.value for item in sent),
@@ -429,6 +456,12 @@
                 "broken_successes": sum(
                     item.answer.status == OK and not item.answer.is_whole for item in calls
                 ),
+                "retries": sum(item.is_retry for item in calls),
+                "unanswered": _count(
+                    item.answer.failure.partition("(")[0] or "behind another"
+                    for item in calls
+                    if not item.answer.status
+                ),
                 "left_early": self.rig.left_early,
             },
             "misread_requests": misread,
@@ -494,8 +527,17 @@
     )
 
 
-def _connect(entry: Entry) -> socket.socket:
-    return socket.create_connection(("127.0.0.1", entry.front_port), TIMEOUT_S)
+def _connect(entry: Entry, *, receive_bytes: int | None = None) -> socket.socket:
+    opened = socket.socket()
+    if receive_bytes is not None:
+        opened.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, receive_bytes)
+    opened.settimeout(TIMEOUT_S)
+    try:
+        opened.connect(("127.0.0.1", entry.front_port))
+    except OSError:
+        opened.close()
+        raise
+    return opened
 
 
 def _lines_of(entry: Entry, event: str, request: str) -> list[str]:
@@ -521,6 +563,7 @@
     spoils: str = "",
     share: float = SPOILED_SHARE,
     faults: bool = True,
+    slow_callers: int = SLOW_CALLERS,
     entry_python: str = sys.executable,
     logs: str = "",
 ) -> None:
@@ -533,6 +576,7 @@
         spoils: What endpoints do to the answers that they spoil, comma-separated; all if empty.
         share: Share of the answers that they spoil.
         faults: Whether entries, links and addresses are disturbed.
+        slow_callers: Number of callers that read large answers slowly.
         entry_python: Interpreter of the entries.
         logs: Folder to keep the entries' logs in; empty discards them.
     """
@@ -548,7 +592,14 @@
             has_peer_proxies=True,
             python=entry_python,
         ) as fleet:
-            answer_rig = AnswerRig(fleet, seed, spoils=chosen, share=share, has_faults=faults)
+            answer_rig = AnswerRig(
+                fleet,
+                seed,
+                spoils=chosen,
+                share=share,
+                has_faults=faults,
+                slow_callers=slow_callers,
+            )
             answer_rig.run(seconds)
             report = RigReport(answer_rig).to_plain()
     print(json.dumps({"seed": seed, "entries": entries, "spoils": spoils} | report))
--- a/packages/cassiahaven-standins/cassiahaven_standins/platform_mixed_endpoint.py
+++ b/packages/cassiahaven-standins/cassiahaven_standins/platform_mixed_endpoint.py
@@ -6,6 +6,7 @@
 from collections.abc import Iterator
 from dataclasses import dataclass, field
 from enum import Enum
+from functools import lru_cache
 
 from cassiahaven_standins.answer_framing import FRAMING_BY_NAME, NO_LINGER, FramedAnswer
 from cassiahaven_standins.platform_endpoint import (
@@ -13,16 +14,18 @@
     EndpointState,
     PlatformEndpoint,
 )
-from cassiahaven_standins.segment_proxy import SegmentProxy
+from cassiahaven_standins.segment_proxy import BUFFER_BYTES, SegmentProxy
 
+HEALTH_PATH = "/health"
 SERVICE_TIME_S = 0.005
 LONGEST_SILENCE_S = 5.0
 HALF_OPEN_S = 0.5
 RESET_DELAY_S = (0.0, 0.05)  # behind an orderly end
-SECOND_ANSWER_DELAY_S = (0.0, 0.5)
+SECOND_ANSWER_DELAYS_S = ((0.0, 0.03), (0.0, 0.5))
 READING_DELAY_S = (0.0, 0.2)
 LARGE_BODY_BYTES = 50_000
 PART_BYTES = 65_536
+CACHED_BODIES = 32
 INTERIM_HEADS = (
     b"HTTP/1.1 100 Continue\r\n\r\n",
     b"HTTP/1.1 102 Processing\r\nRequest-Id: %s\r\n\r\n",
@@ -108,6 +111,9 @@
         answers: All answers to requests that were run.
         service_by_instance: Services that the endpoint's address has belonged to.
         misread_requests: Ids of requests whose body was not what their target announces.
+        misdirected: Number of requests that were meant for another endpoint.
+        health_checks: Number of health checks.
+        kept_health_checks: Number of those on a connection that had been used before.
     """
 
     def __init__(
@@ -121,6 +127,9 @@
         self.answers: list[SentAnswer] = []
         self.service_by_instance = {endpoint: service}
         self.misread_requests: list[str] = []
+        self.misdirected = 0
+        self.health_checks = 0
+        self.kept_health_checks = 0
 
     def choose_spoil(self) -> Spoil:
         """Return what to do to an answer."""
@@ -143,6 +152,11 @@
     def handle_request(self) -> None:
         self._exchanges += 1
         self._early = None
+        if self.path == HEALTH_PATH:
+            self.state.health_checks += 1
+            self.state.kept_health_checks += self._exchanges > 1
+        elif self.headers["Target-Instance"] != self.state.endpoint:
+            self.state.misdirected += 1
         super().handle_request()
 
     do_GET = do_POST = handle_request
@@ -264,7 +278,7 @@
         rng = self.state.random
         name, answer = self._encode(request, body, b"")
         cut_at = rng.choice((None, self._choose_cut(answer)[1]))
-        second = SecondAnswer(name, rng.uniform(*SECOND_ANSWER_DELAY_S), cut_at)
+        second = SecondAnswer(name, rng.uniform(*rng.choice(SECOND_ANSWER_DELAYS_S)), cut_at)
         sent.seconds.append(second)
         exchange = self._exchanges
 
@@ -297,6 +311,7 @@
     ) -> None:
         state = MixedEndpointState(endpoint, service, seed, spoils, share)
         super().__init__(endpoint, service, "a", state=state, handler=MixedHandler)
+        self._server.socket.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, BUFFER_BYTES)
         host, _, port = super().address.partition(":")
         self._proxy = SegmentProxy((host, int(port)), seed)
 
@@ -321,12 +336,14 @@
     return f"/{kind}/{prefix}/{name}/{answer_bytes}/{body_bytes}"
 
 
+@lru_cache(maxsize=CACHED_BODIES)
 def mixed_answer(service: str, target: str) -> bytes:
     """Return the whole body with which ``service`` answers a request."""
     size = int(target.split("/")[-2])
     return random.Random(f"{service} {target}").randbytes(size)
 
 
+@lru_cache(maxsize=CACHED_BODIES)
 def mixed_request_body(target: str) -> bytes:
     """Return the body of a request with this target."""
     return random.Random(target).randbytes(int(target.rpartition("/")[2]))
--- a/packages/cassiahaven-standins/cassiahaven_standins/segment_proxy.py
+++ b/packages/cassiahaven-standins/cassiahaven_standins/segment_proxy.py
@@ -10,6 +10,7 @@
 from cassiahaven_standins.answer_framing import NO_LINGER
 from cassiahaven_standins.link_proxy import CHUNK_BYTES, LinkProxy
 
+BUFFER_BYTES = 32_768  # larger ones take a whole request that the target does not read
 DELAY_S = (0.0, 0.02)
 DELAYED_SHARE = 0.1
 SPLIT_SHARE = 0.3
@@ -43,6 +44,7 @@
     def __init__(self, target: tuple[str, int], seed: str) -> None:
         self._random = random.Random(seed)
         super().__init__(target)
+        self._listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, BUFFER_BYTES)
 
     def _serve(self, client: socket.socket, server: socket.socket) -> None:
         threading.Thread(target=self._relay, args=(client, server), daemon=True).start()
@@ -53,6 +55,7 @@
             for item in (client, server):
                 item.setblocking(False)
                 item.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            server.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, BUFFER_BYTES)
             while not all(item.is_passed for item in directions):
                 self._step(directions)
         except OSError:
