Do not count a request that its sender gave up as misread

Such requests are now dropped and counted as unfinished; a body that arrived whole is compared as before.

--- a/packages/cassiahaven-standins/cassiahaven_standins/platform_answer_rig.py
+++ b/packages/cassiahaven-standins/cassiahaven_standins/platform_answer_rig.py
@@ -420,6 +420,7 @@
             "faults": dict(self.rig.findings.faults),
             "peak_mb": self.rig.peak_mb,
             "requests": {
+                "unfinished": sum(item.state.unfinished_requests for item in self.rig.endpoints),
                 "misdirected": sum(item.state.misdirected for item in self.rig.endpoints),
                 "health_checks": sum(item.state.health_checks for item in self.rig.endpoints),
                 "health_checks_on_kept_connections": sum(
--- a/packages/cassiahaven-standins/cassiahaven_standins/platform_mixed_endpoint.py
+++ b/packages/cassiahaven-standins/cassiahaven_standins/platform_mixed_endpoint.py
@@ -111,6 +111,7 @@
         answers: All answers to requests that were run.
         service_by_instance: Services that the endpoint's address has belonged to.
         misread_requests: Ids of requests whose body was not what their target announces.
+        unfinished_requests: Number of requests whose sender gave up before all of it had arrived.
         misdirected: Number of requests that were meant for another endpoint.
         health_checks: Number of health checks.
         kept_health_checks: Number of those on a connection that had been used before.
@@ -127,6 +128,7 @@
         self.answers: list[SentAnswer] = []
         self.service_by_instance = {endpoint: service}
         self.misread_requests: list[str] = []
+        self.unfinished_requests = 0
         self.misdirected = 0
         self.health_checks = 0
         self.kept_health_checks = 0
@@ -169,7 +171,12 @@
         if request and is_ours and size >= LARGE_BODY_BYTES and self._answers_early():
             self._early = self._send_answer(request, Spoil.EARLY)
             threading.Event().wait(self.state.random.uniform(*READING_DELAY_S))
-        return super().read_body()
+        body = super().read_body()
+        if len(body) < size:
+            # Its sender gave the request up.
+            self.state.unfinished_requests += 1
+            raise ConnectionAbortedError
+        return body
 
     def respond(self, request: str, body: bytes) -> None:
         """Answer a request that was run, unless that was done before it was read."""
