Give an answer that closes its connection until the deadline

Callers saw: a failure, or a second run of a call that may be repeated, though the endpoint was sending its answer, where the answer's head closes the connection, has no length or is of HTTP/1.0, and its body takes longer than the patience for the first byte.

Cause: when such a head is read, the HTTP client detaches the socket from the connection. Extending the deadline from the patience to the call's own went through the connection, so it did nothing, and the body was read under the limit for the head.

The connection remembers the socket that it opened, and sets the deadline there.

--- a/packages/cassiahaven-entry/cassiahaven_entry/_connection.py
+++ b/packages/cassiahaven-entry/cassiahaven_entry/_connection.py
@@ -269,6 +269,8 @@
     on_unexpected_bytes: Callable[[bytes], None] | None = None
     _expires_ms = float("inf")
     _exchanges = 0
+    # ``sock`` is ``None`` while an answer is read that closes the connection.
+    _upstream_socket: UpstreamSocket | None = None
 
     def start_exchange(self, record: AnswerRecord) -> None:
         """Record in ``record`` how the next answer is read."""
@@ -288,13 +290,13 @@
     def extend(self, more_ms: float) -> None:
         """Extend the deadline of the exchange, which alone limits each receive from now on."""
         self._expire_at(self._expires_ms + more_ms)
-        if isinstance(self.sock, UpstreamSocket):
-            self.sock.settimeout(None)
+        if self._upstream_socket is not None:
+            self._upstream_socket.settimeout(None)
 
     def _expire_at(self, at_ms: float) -> None:
         self._expires_ms = at_ms
-        if isinstance(self.sock, UpstreamSocket):
-            self.sock.expires_ms = at_ms
+        if self._upstream_socket is not None:
+            self._upstream_socket.expires_ms = at_ms
 
     def _new_conn(self) -> socket.socket:
         opened = super()._new_conn()
@@ -306,6 +308,7 @@
         bounded.first_wrapper = opened
         bounded.settimeout(opened.gettimeout())
         bounded.expires_ms = self._expires_ms
+        self._upstream_socket = bounded
         return bounded
 
     @property
--- a/packages/cassiahaven-entry/tests/test_http_transport.py
+++ b/packages/cassiahaven-entry/tests/test_http_transport.py
@@ -240,3 +240,19 @@
     head = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n"
     port = slow_upstream((0.0, head + b"o"), (1.5, b"k"))
     assert send_under_the_hub(port, patience_ms=400, timeout_ms=8000) == "b'ok'"
+
+
+@pytest.mark.parametrize(
+    ("framing", "first", "last"),
+    [
+        ("Content-Length: 2", b"o", b"k"),
+        ("Transfer-Encoding: chunked", b"1\r\no\r\n", b"1\r\nk\r\n0\r\n\r\n"),
+    ],
+)
+def test_answer_that_closes_its_connection_may_take_until_the_deadline(
+    slow_upstream, framing, first, last
+):
+    # Its connection is detached before the body is read, so the patience applied to the body too.
+    head = f"HTTP/1.1 200 OK\r\nConnection: close\r\n{framing}\r\n\r\n"
+    port = slow_upstream((0.0, head.encode() + first), (1.5, last))
+    assert send_under_the_hub(port, patience_ms=400, timeout_ms=8000) == "b'ok'"
