Take a broken pipe for no end of an answer

Callers could see: a part of an answer without a length as a whole one, if receiving fails with EPIPE or ESHUTDOWN.

Cause: the green socket returns nothing for these errors, as for a reset, and only the reset was turned back into an error.

Evidence: test_error_of_a_connection_does_not_look_like_its_end failed for both with a stand-in for the system's socket. That Linux reports them on receiving is not shown: behind an orderly end it reports that end, and the scripts with an orderly end and then a reset showed no harm. The five other errors passed before, as did test_end_of_a_connection_behind_a_reset_that_a_check_found_is_not_used, which guards the check of idle connections.

Both errors raise now.

--- a/packages/cassiahaven-entry/cassiahaven_entry/_connection.py
+++ b/packages/cassiahaven-entry/cassiahaven_entry/_connection.py
@@ -200,10 +200,11 @@
 class UpstreamSocket(GreenSocket):
     """Raise if the connection was reset or the exchange exceeds its deadline.
 
-    The library reports a reset as the end of the stream, so a truncated answer that ends with its
-    connection would look complete. The system reports a reset only once: after a failed send, the
-    next receives return what had arrived, and then the end of the stream. Timeouts of the library
-    apply to each receive, so an upstream that sends a byte now and then would never hit them.
+    The library reports a reset or a broken pipe as the end of the stream, so a truncated answer
+    that ends with its connection would look complete. The system reports a reset only once: after a
+    failed send, the next receives return what had arrived, and then the end of the stream. Timeouts
+    of the library apply to each receive, so an upstream that sends a byte now and then would never
+    hit them.
 
     Attributes:
         expires_ms: Deadline of the exchange.
@@ -234,7 +235,7 @@
             except BlockingIOError:
                 self._receives_without_yield = 0
                 raise
-            except ConnectionResetError:
+            except (ConnectionResetError, BrokenPipeError):
                 was_reset = True
                 raise
 
--- a/packages/cassiahaven-entry/tests/test_http_transport.py
+++ b/packages/cassiahaven-entry/tests/test_http_transport.py
@@ -1,17 +1,19 @@
 """HTTP transport over real sockets, against misbehaving upstreams."""
 
+import errno
 import socket
 import struct
 import subprocess
 import sys
 import threading
 import time
+from unittest.mock import Mock
 
 import pytest
 
 from cassiahaven_core.edge import SendFailed, TransferBroken, UpstreamRequest
 from cassiahaven_core.pool import CallResult, EndpointAddress
-from cassiahaven_entry._connection import UpstreamSocket
+from cassiahaven_entry._connection import PeekingConnection, UpstreamSocket
 from cassiahaven_entry.header_dialect import HeaderDialect
 from cassiahaven_entry.http_transport import HttpTransport
 
@@ -256,3 +258,29 @@
     head = f"HTTP/1.1 200 OK\r\nConnection: close\r\n{framing}\r\n\r\n"
     port = slow_upstream((0.0, head.encode() + first), (1.5, last))
     assert send_under_the_hub(port, patience_ms=400, timeout_ms=8000) == "b'ok'"
+
+
+@pytest.mark.parametrize(
+    "code", ["ECONNRESET", "EPIPE", "ESHUTDOWN", "ETIMEDOUT", "EHOSTUNREACH", "ENETDOWN", "EBADF"]
+)
+def test_error_of_a_connection_does_not_look_like_its_end(code):
+    # The library returns nothing, as at an orderly end, for some errors.
+    plain = Mock(gettimeout=Mock(return_value=None), fileno=Mock(return_value=-1))
+    plain.recv_into.side_effect = OSError(getattr(errno, code), code)
+    with pytest.raises(OSError):
+        UpstreamSocket(plain).recv_into(bytearray(10))
+
+
+def test_end_of_a_connection_behind_a_reset_that_a_check_found_is_not_used():
+    # The system reports a reset once; after the check has taken it, the connection looks ended.
+    listener = socket.create_server(("127.0.0.1", 0))
+    connection = PeekingConnection(*listener.getsockname())
+    plain = socket.create_connection(listener.getsockname())
+    connection.sock = UpstreamSocket(plain)
+    accepted, _ = listener.accept()
+    accepted.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+    assert connection.is_connected
+    accepted.close()
+    listener.close()
+    assert not connection.is_connected
+    assert not connection.is_connected
