Pass on no length of an answer without content

Callers that go by the length would see: the start of their next answer as the body of a 204.

Cause: the endpoint's Content-Length was passed on for a status whose answers have no body, which HTTP forbids senders.

Evidence: test_length_of_an_answer_without_content_is_not_passed_on failed before. That an endpoint of the users sends such a length is not shown, nor that their callers go by it.

The length is dropped for 204. Answers to HEAD and 304 keep theirs, which HTTP allows there.

--- a/packages/cassiahaven-entry/cassiahaven_entry/http_transport.py
+++ b/packages/cassiahaven-entry/cassiahaven_entry/http_transport.py
@@ -269,10 +269,11 @@
             # A complete answer could not be told from a truncated one.
             response.close()
             return SendFailed(CallResult.CONNECTION_LOST, "answer without a length", record=record)
+        dropped = HOP_BY_HOP
+        if response.status == HTTPStatus.NO_CONTENT:
+            dropped = HOP_BY_HOP | {"content-length"}
         headers = tuple(
-            (name, value)
-            for name, value in response.headers.items()
-            if name.lower() not in HOP_BY_HOP
+            (name, value) for name, value in response.headers.items() if name.lower() not in dropped
         )
         if response.connection is not None:
             response.connection.extend(left_ms + BODY_GRACE_MS)
--- a/packages/cassiahaven-entry/tests/test_http_transport.py
+++ b/packages/cassiahaven-entry/tests/test_http_transport.py
@@ -284,3 +284,11 @@
     listener.close()
     assert not connection.is_connected
     assert not connection.is_connected
+
+
+def test_length_of_an_answer_without_content_is_not_passed_on():
+    # A caller that goes by the length would take the start of its next answer for the body.
+    upstream = RawUpstream([b"HTTP/1.1 204 No Content\r\nContent-Length: 5\r\nX-Tag: a\r\n\r\n"])
+    sent = HttpTransport(HeaderDialect()).send(upstream.address, request(idempotent=True), 1000)
+    assert sent.headers == (("X-Tag", "a"),)
+    assert b"".join(sent.body) == b""
