Log a response that begins within the head of another one

Such an answer was reported as a lost connection, so logs did not tell it from one.

Test: test_response_that_begins_within_a_head_is_counted (new with the place).

--- a/packages/cassiahaven-entry/cassiahaven_entry/_connection.py
+++ b/packages/cassiahaven-entry/cassiahaven_entry/_connection.py
@@ -27,6 +27,10 @@
 BODILESS_STATUSES = frozenset({HTTPStatus.NO_CONTENT, HTTPStatus.NOT_MODIFIED})
 
 
+class ResponseWithinHead(HTTPException):
+    """Raised if another response begins within the head of a response."""
+
+
 class _AnswerBytes(io.RawIOBase):
     """Bytes of an answer; raises if the connection ends before the answer does.
 
@@ -136,7 +140,7 @@
         if self.msg.defects or self.msg.get_payload():
             raise HTTPException("malformed headers")
         if any(STATUS_LINE.search(text) for text in (self.reason, *self.msg.values())):
-            raise HTTPException("another response begins within the head")
+            raise ResponseWithinHead("another response begins within the head")
         lengths = self.msg.get_all("content-length", [])
         codings = self.msg.get_all("transfer-encoding", [])
         is_length_malformed = any(not DIGITS.fullmatch(length.strip()) for length in lengths)
--- a/packages/cassiahaven-entry/cassiahaven_entry/http_transport.py
+++ b/packages/cassiahaven-entry/cassiahaven_entry/http_transport.py
@@ -28,7 +28,12 @@
     UpstreamTransport,
 )
 from cassiahaven_core.pool import CallResult, EndpointAddress, LoadReport, ProbeFailed
-from cassiahaven_entry._connection import BODILESS_STATUSES, PeekingConnection, WholeResponsePool
+from cassiahaven_entry._connection import (
+    BODILESS_STATUSES,
+    PeekingConnection,
+    ResponseWithinHead,
+    WholeResponsePool,
+)
 from cassiahaven_entry.event import LogEvent, log
 from cassiahaven_entry.metrics import Metrics
 
@@ -69,6 +74,7 @@
     IDLE_CONNECTION = "idle connection"  # found when a call was about to use the connection
     BEHIND_ANSWER = "behind an answer"
     IN_PLACE_OF_ANSWER = "in place of an answer"  # a response that names another request
+    WITHIN_HEAD = "within a head"  # a response cut off in its head, and then another one
 
 
 class _CallHeaders(urllib3.HTTPHeaderDict):
@@ -169,6 +175,7 @@
             result = CallResult.UNANSWERED if is_impatient else CallResult.TIMEOUT
             return SendFailed(result, str(error), record=record)
         except (HTTPError, OSError) as error:
+            self._report_mixed_head(address, error, record, request.request_id)
             return SendFailed(CallResult.CONNECTION_LOST, str(error), record=record)
         record.framing, record.declared_bytes = _framing(request, response)
         return self._answer(address, request, response, timeout_ms - head_ms, record)
@@ -191,6 +198,7 @@
                 decode_content=False,
             )
         except (HTTPError, OSError) as error:
+            self._report_mixed_head(address, error, record, None)
             return ProbeFailed(f"{type(error).__name__}: {error}")
         value_by_name = _value_by_name(response)
         named = self._dialect.read_head(response.status, value_by_name, None).request_id
@@ -306,6 +314,21 @@
         labels = (record.framing.value, record.connection.value, end)
         self._metrics.answers.labels(*labels).inc()
 
+    def _report_mixed_head(
+        self,
+        address: EndpointAddress,
+        error: Exception,
+        record: AnswerRecord,
+        request_id: str | None,
+    ) -> None:
+        if any(isinstance(cause, ResponseWithinHead) for cause in error.args):
+            self._report_unexpected(
+                address,
+                UnexpectedPlace.WITHIN_HEAD,
+                request=request_id,
+                answer=record.to_plain(),
+            )
+
     def _report_surplus(
         self, address: EndpointAddress, record: AnswerRecord, request_id: str | None
     ) -> None:
--- a/packages/cassiahaven-entry/tests/test_http_transport.py
+++ b/packages/cassiahaven-entry/tests/test_http_transport.py
@@ -16,6 +16,7 @@
 from cassiahaven_entry._connection import PeekingConnection, UpstreamSocket
 from cassiahaven_entry.header_dialect import HeaderDialect
 from cassiahaven_entry.http_transport import HttpTransport
+from cassiahaven_entry.metrics import Metrics
 
 WHOLE = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
 
@@ -292,3 +293,12 @@
     sent = HttpTransport(HeaderDialect()).send(upstream.address, request(idempotent=True), 1000)
     assert sent.headers == (("X-Tag", "a"),)
     assert b"".join(sent.body) == b""
+
+
+def test_response_that_begins_within_a_head_is_counted():
+    # The logs did not tell an answer that was mixed with a late one from a lost connection.
+    upstream = RawUpstream([b"HTTP/1.1 200 OK\r\nX-Tag: a" + WHOLE])
+    metrics = Metrics()
+    transport = HttpTransport(HeaderDialect(), metrics=metrics)
+    assert isinstance(transport.send(upstream.address, request(idempotent=True), 1000), SendFailed)
+    assert b'unexpected_bytes_total{place="within a head"} 1.0' in metrics.text()
