--- a/packages/cassiahaven-entry/tests/test_http_transport.py
+++ b/packages/cassiahaven-entry/tests/test_http_transport.py
@@ -1,5 +1,6 @@
 """HTTP transport over real sockets, against misbehaving upstreams."""
 
+import errno
 import json
 import socket
 import struct
@@ -7,6 +8,7 @@
 import sys
 import threading
 import time
+from unittest.mock import Mock
 
 import pytest
 
@@ -14,7 +16,7 @@
 from cassiahaven_core.edge import SendFailed, TransferBroken, UpstreamRequest
 from cassiahaven_core.pool import CallResult, EndpointAddress
 from cassiahaven_entry import http_transport as http_transport_module
-from cassiahaven_entry._connection import UpstreamSocket
+from cassiahaven_entry._connection import PeekingConnection, UpstreamSocket
 from cassiahaven_entry.event import LogEvent
 from cassiahaven_entry.header_dialect import HeaderDialect
 from cassiahaven_entry.http_transport import HttpTransport, UnexpectedPlace
@@ -384,3 +386,62 @@
     [line] = json.loads(done.stdout or done.stderr)
     assert line["place"] == UnexpectedPlace.IDLE_CONNECTION.value
     assert line["start"] == WHOLE.decode()
+
+
+@pytest.mark.parametrize(
+    ("framing", "first", "last"),
+    [
+        ("Content-Length: 2", b"o", b"k"),
+        ("Transfer-Encoding: chunked", b"1\r\no\r\n", b"1\r\nk\r\n0\r\n\r\n"),
+    ],
+)
+def test_answer_that_closes_its_connection_may_take_until_the_deadline(
+    slow_upstream, framing, first, last
+):
+    # Its connection is detached before the body is read, so the patience applied to the body too.
+    head = f"HTTP/1.1 200 OK\r\nConnection: close\r\n{framing}\r\n\r\n"
+    port = slow_upstream((0.0, head.encode() + first), (1.5, last))
+    assert send_under_the_hub(port, patience_ms=400, timeout_ms=8000) == "b'ok'"
+
+
+@pytest.mark.parametrize(
+    "code", ["ECONNRESET", "EPIPE", "ESHUTDOWN", "ETIMEDOUT", "EHOSTUNREACH", "ENETDOWN", "EBADF"]
+)
+def test_error_of_a_connection_does_not_look_like_its_end(code):
+    # The library returns nothing, as at an orderly end, for some errors.
+    plain = Mock(gettimeout=Mock(return_value=None), fileno=Mock(return_value=-1))
+    plain.recv_into.side_effect = OSError(getattr(errno, code), code)
+    with pytest.raises(OSError):
+        UpstreamSocket(plain).recv_into(bytearray(10))
+
+
+def test_end_of_a_connection_behind_a_reset_that_a_check_found_is_not_used():
+    # The system reports a reset once; after the check has taken it, the connection looks ended.
+    listener = socket.create_server(("127.0.0.1", 0))
+    connection = PeekingConnection(*listener.getsockname())
+    plain = socket.create_connection(listener.getsockname())
+    connection.sock = UpstreamSocket(plain)
+    accepted, _ = listener.accept()
+    accepted.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+    assert connection.is_connected
+    accepted.close()
+    listener.close()
+    assert not connection.is_connected
+    assert not connection.is_connected
+
+
+def test_length_of_an_answer_without_content_is_not_passed_on():
+    # A caller that goes by the length would take the start of its next answer for the body.
+    upstream = RawUpstream([b"HTTP/1.1 204 No Content\r\nContent-Length: 5\r\nX-Tag: a\r\n\r\n"])
+    sent = HttpTransport(HeaderDialect()).send(upstream.address, request(idempotent=True), 1000)
+    assert sent.headers == (("X-Tag", "a"),)
+    assert b"".join(sent.body) == b""
+
+
+def test_response_that_begins_within_a_head_is_counted():
+    # The logs did not tell an answer that was mixed with a late one from a lost connection.
+    upstream = RawUpstream([b"HTTP/1.1 200 OK\r\nX-Tag: a" + WHOLE])
+    metrics = Metrics()
+    transport = HttpTransport(HeaderDialect(), metrics=metrics)
+    assert isinstance(transport.send(upstream.address, request(idempotent=True), 1000), SendFailed)
+    assert b'unexpected_bytes_total{place="within a head"} 1.0' in metrics.text()
