Let the rig send a part of the connection's last answer in front of the next one

The new kind puts each part in front of an answer.

The proxy's thread also ends quietly when the run's end closes its sockets.

--- a/packages/cassiahaven-standins/cassiahaven_standins/platform_answer_rig.py
+++ b/packages/cassiahaven-standins/cassiahaven_standins/platform_answer_rig.py
@@ -57,6 +57,7 @@
 BODY_BYTES = (0, 1, 1_000, 300_000)
 CHUNK_BYTES = (7, 1_000, 65_536)
 DELAY_STEP_MS = 100
+MS_PER_S = 1000
 OK = 200
 SHOWN_VIOLATIONS = 20
 
@@ -437,7 +438,7 @@
             },
             "second_answers": {
                 "by_delay_ms": _count(
-                    str(int(item.delay_s * 1000) // DELAY_STEP_MS * DELAY_STEP_MS)
+                    str(int(item.delay_s * MS_PER_S) // DELAY_STEP_MS * DELAY_STEP_MS)
                     for item in seconds
                 ),
                 "cut": sum(item.cut_at is not None for item in seconds),
--- a/packages/cassiahaven-standins/cassiahaven_standins/platform_mixed_endpoint.py
+++ b/packages/cassiahaven-standins/cassiahaven_standins/platform_mixed_endpoint.py
@@ -3,6 +3,7 @@
 import random
 import socket
 import threading
+import time
 from collections.abc import Iterator
 from dataclasses import dataclass, field
 from enum import Enum
@@ -44,6 +45,7 @@
     NONE = "none"
     CUT = "cut"
     TWICE = "twice"
+    LATE = "late"  # preceded by a part of the connection's answer before
     INTERIM = "interim"
     EARLY = "early"  # answers a long request before reading it
 
@@ -66,6 +68,7 @@
     """One more answer to a request.
 
     Attributes:
+        delay_s: Time after the answer before.
         cut_at: Number of bytes sent, ``None`` for all.
         is_in_use: Whether the connection had got another request meanwhile.
         is_sent: Whether it could be sent.
@@ -150,6 +153,7 @@
         self.connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         self._exchanges = 0
         self._early: SentAnswer | None = None
+        self._last_answer: tuple[float, str, bytes] | None = None
 
     def handle_request(self) -> None:
         self._exchanges += 1
@@ -199,6 +203,9 @@
                 name, answer = self._encode(request, body, b"")
         sent = SentAnswer(request, state.endpoint, name, spoil, self._exchanges, len(body))
         state.answers.append(sent)
+        if spoil is Spoil.LATE:
+            self._send_late_part(sent)
+        self._last_answer = time.monotonic(), request, body
         if spoil is Spoil.CUT:
             self._cut(answer, sent)
             return sent
@@ -281,6 +288,16 @@
         except TimeoutError:
             return
 
+    def _send_late_part(self, sent: SentAnswer) -> None:
+        if self._last_answer is None:
+            return
+        at_s, request, body = self._last_answer
+        name, answer = self._encode(request, body, b"")
+        cut_at = self._choose_cut(answer)[1]
+        second = SecondAnswer(name, time.monotonic() - at_s, cut_at, is_in_use=True)
+        sent.seconds.append(second)
+        second.is_sent = self._write_parts(answer.data[:cut_at])
+
     def _schedule_second(self, request: str, body: bytes, sent: SentAnswer) -> None:
         rng = self.state.random
         name, answer = self._encode(request, body, b"")
--- a/packages/cassiahaven-standins/cassiahaven_standins/segment_proxy.py
+++ b/packages/cassiahaven-standins/cassiahaven_standins/segment_proxy.py
@@ -58,7 +58,7 @@
             server.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, BUFFER_BYTES)
             while not all(item.is_passed for item in directions):
                 self._step(directions)
-        except OSError:
+        except (OSError, ValueError):  # the latter after reset_all has closed a socket
             for item in (client, server):
                 _reset(item)
         else:
