Bound the memory of all request bodies together

Cause: a body was read whole, joined at twice its size and kept until its call had ended. The size of each was bounded, their sum over all connections was not.

Fix: RequestMemory (core) holds two fifths of the process's memory limit for bodies, an eighth of that for those up to 256 KiB. A body reserves its declared length before it is read, or grows as its chunks arrive. One that does not fit is refused at once as not run (request-memory-full: 503 and Retry-After), and the rest of it is read and dropped, so that none of it becomes a request. Large bodies lie in a mapping of their own: no second copy while joining or sending, and the memory returns to the system. It is released with the end of the call, before an answer is streamed, and when the caller leaves. Reading a body yields to other tasks each 1 MiB.

--- a/packages/cassiahaven-core/cassiahaven_core/edge.py
+++ b/packages/cassiahaven-core/cassiahaven_core/edge.py
@@ -10,6 +10,7 @@
 from cassiahaven_core.membership import Member
 from cassiahaven_core.pool import CallResult, EndpointAddress, LoadReport, ProbeFailed
 from cassiahaven_core.registry import Registration
+from cassiahaven_core.request_memory import Body
 from cassiahaven_core.route import GatewayConfig
 from cassiahaven_core.table import ServiceTable
 
@@ -271,7 +272,7 @@
     method: str
     target: str
     headers: tuple[tuple[str, str], ...]
-    body: bytes
+    body: Body
     idempotent: bool
     request_id: str | None = None
 
@@ -363,7 +364,7 @@
     method: str
     target: str
     headers: tuple[tuple[str, str], ...]
-    body: bytes
+    body: Body
     token: str | None
     key: str | None
     timeout_ms: float | None
--- a/packages/cassiahaven-core/cassiahaven_core/quarantine.py
+++ b/packages/cassiahaven-core/cassiahaven_core/quarantine.py
@@ -3,13 +3,15 @@
 from dataclasses import dataclass, field
 from hashlib import blake2b
 
+from cassiahaven_core.request_memory import Body
+
 CRASHES_BEFORE_REFUSAL = 2
 CRASH_MEMORY_MS = 600_000.0
 MAX_FINGERPRINTS = 10_000
 FINGERPRINT_BYTES = 16
 
 
-def request_fingerprint(service: str, partner: str, method: str, path: str, body: bytes) -> str:
+def request_fingerprint(service: str, partner: str, method: str, path: str, body: Body) -> str:
     """Return a hash that is equal for requests that an upstream cannot tell apart."""
     digest = blake2b(digest_size=FINGERPRINT_BYTES)
     for part in (service, partner, method, path):
--- a/packages/cassiahaven-core/cassiahaven_core/reason.py
+++ b/packages/cassiahaven-core/cassiahaven_core/reason.py
@@ -14,6 +14,7 @@
     MALFORMED_REQUEST = "malformed-request"
     BODY_TOO_LARGE = "body-too-large"
     BODY_INCOMPLETE = "body-incomplete"
+    REQUEST_MEMORY_FULL = "request-memory-full"
     DEADLINE_EXCEEDED = "deadline-exceeded"
     QUEUE_FULL = "queue-full"
     WAIT_TOO_LONG = "wait-too-long"
--- a/packages/cassiahaven-core/cassiahaven_core/routed_settings.py
+++ b/packages/cassiahaven-core/cassiahaven_core/routed_settings.py
@@ -21,6 +21,7 @@
     Attributes:
         region_by_zone: Every availability zone with its region.
         cores: CPU seconds per second that the VM allots to this process.
+        memory_bytes: Memory that the VM allots to this process.
         callers: Address that accepts calls.
         readiness: Address of the readiness check for the platform.
         directory: Address at which callers look up the entries to use.
@@ -38,6 +39,7 @@
     availability_zone: str
     region_by_zone: dict[str, str]
     cores: float
+    memory_bytes: int
     callers: SocketAddress
     readiness: SocketAddress
     directory: SocketAddress
--- a/packages/cassiahaven-core/cassiahaven_core/settings.py
+++ b/packages/cassiahaven-core/cassiahaven_core/settings.py
@@ -2,6 +2,8 @@
 
 from dataclasses import dataclass
 
+from cassiahaven_core.request_memory import BYTES_PER_MB, DEFAULT_PROCESS_BYTES
+
 PUBLIC_PARTNER = "public"
 DEFAULT_IDEMPOTENT_METHODS = ("GET", "HEAD")
 
@@ -12,6 +14,7 @@
 
     Attributes:
         address_lifetime_ms: How long a caller may cache the addresses that it looked up.
+        memory_mb: Memory that the process may use.
     """
 
     name: str
@@ -21,6 +24,7 @@
     operator_port: int
     peer_port: int
     address_lifetime_ms: int = 5000
+    memory_mb: int = DEFAULT_PROCESS_BYTES // BYTES_PER_MB
     log_file: str | None = None
 
 
--- a/packages/cassiahaven-entry/cassiahaven_entry/attempts.py
+++ b/packages/cassiahaven-entry/cassiahaven_entry/attempts.py
@@ -254,6 +254,7 @@
             )
             task.finish(call.waiting, address.endpoint, result)
 
+        call.drop_body()
         outcome = Ran(sent.status, address.endpoint)
         head = Answer(sent.status, sent.headers, b"")
         return Finished(outcome, head, AnswerStream(parts, sent, end), sent.record)
--- a/packages/cassiahaven-entry/cassiahaven_entry/call.py
+++ b/packages/cassiahaven-entry/cassiahaven_entry/call.py
@@ -2,7 +2,7 @@
 
 import time
 from collections.abc import Callable, Iterator
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 from cassiahaven_core.admission import WaitingCall
 from cassiahaven_core.answer import Answer
@@ -53,6 +53,10 @@
         """Return the partner that sent the call."""
         return self.waiting.partner
 
+    def drop_body(self) -> None:
+        """Drop the request's body, which no further attempt needs."""
+        self.request = replace(self.request, body=b"")
+
     def note(self, what: str, detail: str = "") -> None:
         """Add a step to the explanation."""
         at_ms = round(now_ms() - self.waiting.arrived_ms, 3)
--- a/packages/cassiahaven-entry/cassiahaven_entry/caller_dialect.py
+++ b/packages/cassiahaven-entry/cassiahaven_entry/caller_dialect.py
@@ -16,13 +16,21 @@
 class RequestRejected(Exception):
     """Raised for a request that is rejected before it becomes a call."""
 
-    __slots__ = ("service", "reason", "request_id")
+    __slots__ = ("service", "reason", "request_id", "retry_after_ms")
 
-    def __init__(self, service: str, reason: RefusalReason, request_id: str | None = None) -> None:
+    def __init__(
+        self,
+        service: str,
+        reason: RefusalReason,
+        request_id: str | None = None,
+        *,
+        retry_after_ms: float | None = None,
+    ) -> None:
         super().__init__(reason.value)
         self.service = service
         self.reason = reason
         self.request_id = request_id
+        self.retry_after_ms = retry_after_ms
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/cassiahaven-entry/cassiahaven_entry/calls.py
+++ b/packages/cassiahaven-entry/cassiahaven_entry/calls.py
@@ -76,11 +76,13 @@
             finished = Finished(Unknown(UnknownReason.INTERNAL))
         return self._respond(call, finished)
 
-    def refuse(self, service: str, outcome: NotRun) -> CallResponse:
+    def refuse(
+        self, service: str, outcome: NotRun, retry_after_ms: float | None = None
+    ) -> CallResponse:
         """Count and return the refusal of a request that was rejected before it became a call."""
         known = service if service in self._settings.service_by_name else "unknown"
         self._metrics.refusals.labels(known, outcome.reason.value).inc()
-        return _plain_response(self._new_call_id(), outcome)
+        return _plain_response(self._new_call_id(), outcome, _retry_after(retry_after_ms))
 
     def largest_body_bytes(self, service: str) -> int:
         """Return the body size limit of ``service``, 0 if the service is unknown."""
@@ -133,7 +135,7 @@
         if not isinstance(outcome, NotRun) or response_status(outcome) != UNAVAILABLE_STATUS:
             return ()
         policy = self._task_by_service[call.service].policy
-        return ((RETRY_AFTER, f"{policy.retry_after_ms(call.waiting, now_ms()) / MS_PER_S:.3f}"),)
+        return _retry_after(policy.retry_after_ms(call.waiting, now_ms()))
 
     def _count(self, call: Call, outcome: Outcome) -> None:
         service = call.service
@@ -147,6 +149,10 @@
                 self._metrics.unknowns.labels(service, reason.value).inc()
 
 
+def _retry_after(delay_ms: float | None) -> tuple[tuple[str, str], ...]:
+    return () if delay_ms is None else ((RETRY_AFTER, f"{delay_ms / MS_PER_S:.3f}"),)
+
+
 def _outcome_headers(call_id: str, outcome: Outcome) -> tuple[tuple[str, str], ...]:
     return ((call_header.CALL_ID, call_id), (call_header.CALL_OUTCOME, outcome.header))
 
--- a/packages/cassiahaven-entry/cassiahaven_entry/gateway.py
+++ b/packages/cassiahaven-entry/cassiahaven_entry/gateway.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable, Iterable, Iterator
 from http import HTTPStatus
+from itertools import count
 
 import eventlet
 from eventlet import wsgi
@@ -9,6 +10,13 @@
 from cassiahaven_core.edge import CallerFrontend, CallRequest, CallResponse, TransferBroken
 from cassiahaven_core.outcome import NotRun
 from cassiahaven_core.reason import RefusalReason
+from cassiahaven_core.request_memory import (
+    LARGEST_SMALL_BODY_BYTES,
+    Body,
+    BodyReservation,
+    RequestMemory,
+)
+from cassiahaven_entry.body_buffer import BodyBuffer
 from cassiahaven_entry.caller_connection import EXCHANGE, CallerProtocol, Exchange
 from cassiahaven_entry.caller_dialect import (
     TARGET,
@@ -20,11 +28,14 @@
 from cassiahaven_entry.clock import MS_PER_S
 from cassiahaven_entry.event import LogEvent, log
 from cassiahaven_entry.http_transport import HOP_BY_HOP
+from cassiahaven_entry.metrics import Metrics
 
 SOCKET_TIMEOUT_S = 15.0  # 5 s disconnected callers on slow links in the middle of a body
 LARGEST_CONNECTION_COUNT = 2000
 LONGEST_URL_BYTES = 8192
 BODY_PART_BYTES = 65_536
+PARTS_WITHOUT_YIELD = 16  # a caller may send without a pause, so other tasks would starve
+MEMORY_RETRY_MS = 1000.0  # most uploads have ended by then
 BACKLOG = 1024
 
 
@@ -35,6 +46,8 @@
         host: Address to listen on.
         port: Port to listen on.
         dialect: Protocol that callers speak.
+        memory: Limits the memory that request bodies take.
+        metrics: Counts request bodies that did not fit.
 
     Attributes:
         dialect: Protocol that callers speak.
@@ -43,11 +56,22 @@
         is_closing: Whether the answer to the last request read closes its connection.
     """
 
-    def __init__(self, host: str, port: int, *, dialect: CallerDialect) -> None:
+    def __init__(
+        self,
+        host: str,
+        port: int,
+        *,
+        dialect: CallerDialect,
+        memory: RequestMemory | None = None,
+        metrics: Metrics | None = None,
+    ) -> None:
         self.in_flight = 0
         self.lingering = 0
         self.is_closing = False
         self.dialect = dialect
+        self._memory = memory or RequestMemory()
+        self._metrics = metrics or Metrics()
+        self._metrics.request_body_bytes.set_function(lambda: self._memory.held_bytes)
         self._dropped_headers = HOP_BY_HOP | dialect.dropped_headers | {"content-length"}
         self._socket = eventlet.listen((host, port), backlog=BACKLOG, reuse_port=False)
         self._pool = eventlet.GreenPool(LARGEST_CONNECTION_COUNT)
@@ -96,13 +120,21 @@
         direct = self.dialect.respond_locally(environ)
         if direct is not None:
             return direct
+        reservation = self._memory.new_reservation()
+        try:
+            return self._run(environ, reservation)
+        finally:
+            # No further attempt needs the body; an answer may still be streamed.
+            reservation.release()
+
+    def _run(self, environ: Environ, reservation: BodyReservation) -> CallResponse:
         head: CallHead | None = None
         try:
             if not environ[EXCHANGE].has_known_end:
                 reason = RefusalReason.MALFORMED_REQUEST
                 raise RequestRejected("", reason, self.dialect.request_id(environ))
             head = self.dialect.read_head(environ)
-            request = self._read(environ, head)
+            request = self._read(environ, head, reservation)
         except RequestRejected as error:
             log(
                 LogEvent.REQUEST_REJECTED,
@@ -112,18 +144,20 @@
             )
             request_id = head.request_id if head is not None else error.request_id
             outcome = NotRun(error.reason)
-            return self.dialect.local_response(error.service, outcome, request_id=request_id)
+            return self.dialect.local_response(
+                error.service, outcome, request_id=request_id, retry_after_ms=error.retry_after_ms
+            )
         environ[EXCHANGE].record_body(len(request.body))
         return self._handler(request)
 
-    def _read(self, environ: Environ, head: CallHead) -> CallRequest:
+    def _read(self, environ: Environ, head: CallHead, reservation: BodyReservation) -> CallRequest:
         exchange: Exchange = environ[EXCHANGE]
         return CallRequest(
             service=head.service,
             method=environ["REQUEST_METHOD"],
             target=head.target,
             headers=tuple(self._headers(environ)),
-            body=self._read_body(environ, head),
+            body=self._read_body(environ, head, reservation),
             token=head.token,
             key=head.key,
             timeout_ms=head.timeout_ms,
@@ -140,7 +174,7 @@
             if name.lower() not in dropped:
                 yield name, value
 
-    def _read_body(self, environ: Environ, head: CallHead) -> bytes:
+    def _read_body(self, environ: Environ, head: CallHead, reservation: BodyReservation) -> Body:
         declared = environ.get("CONTENT_LENGTH", "").strip()
         if declared and (not declared.isdigit() or int(declared) > head.largest_body_bytes):
             reason = (
@@ -151,25 +185,53 @@
             raise RequestRejected(head.service, reason)
         if not declared and environ.get("HTTP_TRANSFER_ENCODING") is None:
             return b""
-        body = self._read_parts(environ, head)
-        if declared and len(body) != int(declared):
+        declared_bytes = int(declared) if declared else 0
+        self._reserve(declared_bytes, head, reservation)
+        buffer = BodyBuffer(declared_bytes)
+        try:
+            self._read_parts(environ, head, buffer, reservation)
+        except (OSError, ValueError):
+            raise RequestRejected(head.service, RefusalReason.BODY_INCOMPLETE) from None
+        if declared and buffer.size != declared_bytes:
             raise RequestRejected(head.service, RefusalReason.BODY_INCOMPLETE)
-        return body
-
-    def _read_parts(self, environ: Environ, head: CallHead) -> bytes:
-        parts: list[bytes] = []
-        size = 0
-        while True:
-            try:
-                part = environ["wsgi.input"].read(BODY_PART_BYTES)
-            except (OSError, ValueError):
-                raise RequestRejected(head.service, RefusalReason.BODY_INCOMPLETE) from None
+        return buffer.body()
+
+    def _read_parts(
+        self, environ: Environ, head: CallHead, buffer: BodyBuffer, reservation: BodyReservation
+    ) -> None:
+        for number in count(1):
+            part = environ["wsgi.input"].read(BODY_PART_BYTES)
             if not part:
-                return b"".join(parts)
-            parts.append(part)
-            size += len(part)
+                return
+            size = buffer.size + len(part)
             if size > head.largest_body_bytes:
                 raise RequestRejected(head.service, RefusalReason.BODY_TOO_LARGE)
+            if size > reservation.size:
+                self._reserve(size, head, reservation)
+            buffer.append(part)
+            if number % PARTS_WITHOUT_YIELD == 0:
+                eventlet.sleep(0)
+
+    def _reserve(self, size: int, head: CallHead, reservation: BodyReservation) -> None:
+        """Reserve memory for a body of ``size`` bytes in all.
+
+        Raises:
+            RequestRejected: There is no room; what is left of the body is read and dropped.
+        """
+        if reservation.grow(size):
+            return
+        is_small = size <= LARGEST_SMALL_BODY_BYTES
+        self._metrics.request_bodies_rejected.labels("small" if is_small else "large").inc()
+        log(
+            LogEvent.REQUEST_MEMORY_FULL,
+            request=head.request_id,
+            body_bytes=size,
+            held_bytes=self._memory.held_bytes,
+            limit_bytes=self._memory.limit_bytes,
+        )
+        raise RequestRejected(
+            head.service, RefusalReason.REQUEST_MEMORY_FULL, retry_after_ms=MEMORY_RETRY_MS
+        )
 
 
 class _ResponseBody:
--- a/packages/cassiahaven-entry/cassiahaven_entry/http_transport.py
+++ b/packages/cassiahaven-entry/cassiahaven_entry/http_transport.py
@@ -263,13 +263,13 @@
         )
         if response.connection is not None:
             response.connection.extend(left_ms + BODY_GRACE_MS)
-        body = self._parts(address, request, response, record)
+        body = self._parts(address, request.request_id, response, record)
         return UpstreamAnswer(response.status, headers, body, response.close, signal, record)
 
     def _parts(
         self,
         address: EndpointAddress,
-        request: UpstreamRequest,
+        request_id: str | None,
         response: urllib3.BaseHTTPResponse,
         record: AnswerRecord,
     ) -> Iterator[bytes]:
@@ -287,7 +287,7 @@
                 self._report_unexpected(
                     address,
                     UnexpectedPlace.BEHIND_ANSWER,
-                    request=request.request_id,
+                    request=request_id,
                     answer=record.to_plain(),
                 )
         finally:
--- a/packages/cassiahaven-entry/cassiahaven_entry/metrics.py
+++ b/packages/cassiahaven-entry/cassiahaven_entry/metrics.py
@@ -68,6 +68,12 @@
         self.unexpected_bytes = self._counter(
             "unexpected_bytes", "Bytes of upstreams that no call was waiting for", "place"
         )
+        self.request_bodies_rejected = self._counter(
+            "request_bodies_rejected", "Request bodies that did not fit into memory", "size"
+        )
+        self.request_body_bytes = self._gauge(
+            "request_body_bytes", "Memory reserved for request bodies"
+        )
         self.peer_rejections = self._counter("peer_rejections", "Peers turned away", "reason")
         self.operator_rejections = self._counter(
             "operator_rejections", "Operator requests turned away", "reason"
--- a/packages/cassiahaven-entry/cassiahaven_entry/native_callers.py
+++ b/packages/cassiahaven-entry/cassiahaven_entry/native_callers.py
@@ -32,7 +32,7 @@
         self,
         *,
         addresses: Callable[[str, str | None], dict[str, Any] | None],
-        local_response: Callable[[str, NotRun | Unknown], CallResponse],
+        local_response: Callable[[str, NotRun | Unknown, float | None], CallResponse],
         largest_body_bytes: Callable[[str], int],
     ) -> None:
         self._addresses = addresses
@@ -47,7 +47,7 @@
         service = path.removeprefix(ADDRESSES_PREFIX)
         answer = self._addresses(service, environ.get("HTTP_AVAILABILITY_ZONE"))
         if answer is None:
-            return self._local_response(service, NotRun(RefusalReason.UNKNOWN_SERVICE))
+            return self._local_response(service, NotRun(RefusalReason.UNKNOWN_SERVICE), None)
         body = json.dumps(answer).encode()
         headers = (("Content-Type", "application/json"), ("Content-Length", str(len(body))))
         return CallResponse(HTTPStatus.OK, headers, iter((body,)))
@@ -76,7 +76,7 @@
         retry_after_ms: float | None = None,
     ) -> CallResponse:
         """Return the answer that the entry itself sends instead of an upstream's."""
-        return self._local_response(service, outcome)
+        return self._local_response(service, outcome, retry_after_ms)
 
 
 def _target(environ: Environ, service: str) -> str:
--- a/packages/cassiahaven-entry/cassiahaven_entry/node.py
+++ b/packages/cassiahaven-entry/cassiahaven_entry/node.py
@@ -20,6 +20,7 @@
 )
 from cassiahaven_core.quarantine import Quarantine
 from cassiahaven_core.rendezvous import rank
+from cassiahaven_core.request_memory import BYTES_PER_MB, RequestMemory
 from cassiahaven_core.settings import Settings
 from cassiahaven_core.steering import EntryAddress, EntrySet
 from cassiahaven_entry.attempts import AttemptRunner
@@ -159,6 +160,8 @@
                 local_response=self.calls.refuse,
                 largest_body_bytes=self.calls.largest_body_bytes,
             ),
+            memory=RequestMemory(self.settings.entry.memory_mb * BYTES_PER_MB),
+            metrics=self.metrics,
         )
 
     def _make_probers(self, store: ObjectStore, probe: UpstreamProbe) -> list[Prober]:
--- a/packages/cassiahaven-entry/cassiahaven_entry/routed_node.py
+++ b/packages/cassiahaven-entry/cassiahaven_entry/routed_node.py
@@ -20,6 +20,7 @@
 from cassiahaven_core.pool import EndpointAddress
 from cassiahaven_core.quarantine import Quarantine
 from cassiahaven_core.registry import Registration
+from cassiahaven_core.request_memory import RequestMemory
 from cassiahaven_core.retry import RetryLimits
 from cassiahaven_core.route import GatewayConfig, RoutingTable
 from cassiahaven_core.routed_settings import RoutedSettings, SocketAddress
@@ -167,7 +168,13 @@
             metrics=self.metrics,
         )
         caller_address = self.settings.callers
-        self.frontend = HttpFrontend(caller_address.host, caller_address.port, dialect=callers)
+        self.frontend = HttpFrontend(
+            caller_address.host,
+            caller_address.port,
+            dialect=callers,
+            memory=RequestMemory(self.settings.memory_bytes),
+            metrics=self.metrics,
+        )
         self.auxiliary_servers = [
             AuxiliaryServer(
                 self.settings.readiness,
--- a/packages/cassiahaven-entry/tests/test_caller_connection.py
+++ b/packages/cassiahaven-entry/tests/test_caller_connection.py
@@ -10,11 +10,15 @@
 
 from cassiahaven_core.edge import CallResponse, TransferBroken
 from cassiahaven_core.pipeline import MAX_REQUESTS
+from cassiahaven_core.request_memory import RequestMemory
 from cassiahaven_entry.caller_connection import CallerLeft
 from cassiahaven_entry.caller_dialect import TARGET, CallerDialect, CallHead
 from cassiahaven_entry.gateway import HttpFrontend
 
 WAIT_S = 5.0
+MEMORY_BYTES = 4_000_000  # 1.6 MB for bodies, of which large ones leave 0.2 MB
+UPLOAD = b"x" * 600_000
+SMUGGLED = b"GET /now/smuggled HTTP/1.1\r\nHost: h\r\n\r\n"
 
 
 class EchoDialect(CallerDialect):
@@ -31,7 +35,10 @@
 
     def local_response(self, service, outcome, *, request_id=None, retry_after_ms=None):
         body = outcome.header.encode()
-        return CallResponse(400, (("Content-Length", str(len(body))),), iter((body,)))
+        headers = (("Content-Length", str(len(body))),)
+        if retry_after_ms is not None:
+            headers = (*headers, ("Retry-After", str(retry_after_ms)))
+        return CallResponse(400, headers, iter((body,)))
 
 
 class Backend:
@@ -142,8 +149,13 @@
 
 
 @pytest.fixture
-def frontend(backend):
-    frontend = HttpFrontend("127.0.0.1", 0, dialect=EchoDialect())
+def memory():
+    return RequestMemory(MEMORY_BYTES)
+
+
+@pytest.fixture
+def frontend(backend, memory):
+    frontend = HttpFrontend("127.0.0.1", 0, dialect=EchoDialect(), memory=memory)
     task = eventlet.spawn(frontend.serve, backend)
     yield frontend
     task.kill()
@@ -456,3 +468,91 @@
     caller.send("/now")
     eventlet.sleep(2 * EchoDialect.idle_timeout_ms / 1000)
     assert len(caller.read()[1]) == 20_000_000
+
+
+@pytest.fixture
+def uploaders(backend, connect, memory):
+    """Callers of two calls that hold large bodies until they are released."""
+    callers = [connect(), connect()]
+    for number, caller in enumerate(callers):
+        caller.send(f"/held/{number}", method="POST", body=UPLOAD)
+    until(lambda: len(backend.started) == len(callers))
+    assert memory.held_bytes == len(callers) * len(UPLOAD)
+    return callers
+
+
+@pytest.mark.parametrize("is_chunked", [False, True])
+def test_body_that_does_not_fit_is_refused_and_not_read_as_a_request(
+    backend, connect, uploaders, is_chunked
+):
+    # Large uploads together outgrew the memory of the process, which was killed.
+    body = SMUGGLED * (len(UPLOAD) // len(SMUGGLED))
+    caller = connect()
+    if is_chunked:
+        head = "POST /now/refused HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n"
+        chunk = b"%x\r\n%s\r\n0\r\n\r\n" % (len(body), body)
+        caller.socket.sendall(head.encode() + chunk)
+    else:
+        caller.send("/now/refused", method="POST", body=body)
+    status, answer, is_last = caller.read()
+    assert (status, answer) == (400, b"not-run; reason=request-memory-full")
+    assert not is_last
+    caller.send("/now/next")
+    assert caller.read()[:2] == (200, b"/now/next ")
+    assert "/now/refused" not in backend.started
+    assert "/now/smuggled" not in backend.started
+
+
+def test_body_that_does_not_fit_is_refused_before_it_arrives(connect, uploaders):
+    caller = connect()
+    caller.socket.sendall(
+        b"POST /now/refused HTTP/1.1\r\nHost: h\r\nContent-Length: 600000\r\n\r\nx"
+    )
+    status, answer, _ = caller.read()
+    assert (status, answer) == (400, b"not-run; reason=request-memory-full")
+
+
+def test_small_bodies_pass_while_uploads_fill_their_part_of_the_memory(connect, uploaders):
+    refused = connect()
+    refused.send("/now/large", method="POST", body=b"x" * 300_000)
+    assert refused.read()[0] == 400
+    caller = connect()
+    for number in range(20):
+        caller.send(f"/now/{number}", method="POST", body=b"x" * 200_000)
+        assert caller.read()[0] == 200
+
+
+def test_memory_of_a_body_is_released_at_the_end_of_its_call(backend, uploaders, memory):
+    for number, caller in enumerate(uploaders):
+        backend.release(f"/held/{number}")
+        assert caller.read()[:2] == (200, f"/held/{number} ".encode() + UPLOAD)
+    assert memory.held_bytes == 0
+
+
+def test_memory_of_a_body_is_released_before_its_answer_is_streamed(backend, connect, memory):
+    rest = Event()
+    backend.body_by_target["/now/stream"] = [b"first", rest, b"second"]
+    caller = connect()
+    caller.send("/now/stream", method="POST", body=UPLOAD)
+    until(lambda: backend.started)
+    until(lambda: memory.held_bytes == 0)
+    rest.send()
+    assert caller.read()[1] == b"firstsecond"
+
+
+def test_memory_is_released_if_the_caller_leaves_within_its_body(backend, connect, memory):
+    caller = connect()
+    caller.socket.sendall(
+        b"POST /now/left HTTP/1.1\r\nHost: h\r\nContent-Length: 600000\r\n\r\n" + b"x" * 300_000
+    )
+    until(lambda: memory.held_bytes == len(UPLOAD))
+    caller.socket.close()
+    until(lambda: memory.held_bytes == 0)
+    assert not backend.started
+
+
+def test_memory_is_released_if_the_caller_leaves_during_its_call(backend, uploaders, memory):
+    for caller in uploaders:
+        caller.socket.close()
+    until(lambda: memory.held_bytes == 0)
+    assert sorted(backend.left) == ["/held/0", "/held/1"]
--- a/packages/cassiahaven-standins/cassiahaven_standins/platform_fleet.py
+++ b/packages/cassiahaven-standins/cassiahaven_standins/platform_fleet.py
@@ -18,6 +18,7 @@
 
 ZONES = ("a", "b")
 GRACE_MS = 2500
+MEMORY_MB = 300
 
 
 class Entry:
@@ -48,7 +49,7 @@
                 "directory": f"127.0.0.1:{self.directory_port}",
             },
             "internalPorts": [peers, peers],
-            "limits": {"cpuShare": 0.86, "cpuCores": 1},
+            "limits": {"cpuShare": 0.86, "cpuCores": 1, "memoryMb": MEMORY_MB},
             "bounds": [
                 "ttl_max=5s",
                 f"grace={self._grace_ms}ms",
@@ -164,7 +165,12 @@
         self.store.state.put("servers", name, registration)
 
     def configure(
-        self, service_by_prefix: dict[str, str], *, timeout_ms: int = 2000, target_ms: int = 300
+        self,
+        service_by_prefix: dict[str, str],
+        *,
+        timeout_ms: int = 2000,
+        target_ms: int = 300,
+        largest_body_bytes: int = 1_000_000,
     ) -> int:
         """Store a configuration with a route of each kind for each prefix."""
         self.version += 3
@@ -197,7 +203,7 @@
             },
             "limits": {
                 "maxHeaderBytes": 16384,
-                "maxBodyBytes": 1_000_000,
+                "maxBodyBytes": largest_body_bytes,
                 "headerTimeout": "3000ms",
                 "idleTimeout": "15000ms",
             },
--- a/tests/test_platform_translation.py
+++ b/tests/test_platform_translation.py
@@ -14,6 +14,7 @@
 from cassiahaven_core.finding import InvalidDocument
 from cassiahaven_core.outcome import NotRun, Unknown
 from cassiahaven_core.reason import RefusalReason, UnknownReason
+from cassiahaven_core.request_memory import DEFAULT_PROCESS_BYTES
 from cassiahaven_core.route import RoutingTable
 from cassiahaven_entry.caller_dialect import RequestRejected
 from cassiahaven_platform.dialects import (
@@ -126,6 +127,21 @@
     assert settings.address_lifetime_ms <= 5000
     assert (settings.retry_share, settings.retry_slack) == (0.2, 60)
     assert settings.cores == pytest.approx(2.151)
+    assert settings.memory_bytes == DEFAULT_PROCESS_BYTES
+
+
+def test_memory_limit_is_decoded(write_settings):
+    # An entry that took itself for larger than it is would outgrow its memory.
+    limits = SETTINGS["limits"] | {"memoryMb": 200}
+    settings = read_settings(write_settings(SETTINGS | {"limits": limits}))
+    assert settings.memory_bytes == 209_715_200
+
+
+@pytest.mark.parametrize("limits", [[], {"memoryMb": "much"}, {"memoryMb": None}])
+def test_unreadable_memory_limit_is_reported(write_settings, limits):
+    with pytest.raises(InvalidDocument) as caught:
+        read_settings(write_settings(SETTINGS | {"limits": limits}))
+    assert any("limits" in finding.path for finding in caught.value.findings)
 
 
 def test_all_faults_of_settings_are_reported_together(write_settings):
