Give up uploads that stall, and read a body only until its deadline

What callers saw: nothing; found by reading. A caller that declared a body and then stayed silent was waited for without end, since a connection with an answer due never counts as idle. With bodies reserved by their declared length, a few such callers would have kept all other uploads out.

Cause: the idle timeout was ignored while any answer of the connection was due, also while the entry waited for the caller's bytes.

Fix: while a body is read the idle timeout counts, and the read ends at the caller's deadline (at most 10 minutes). The request is refused as before (body-incomplete, or deadline-exceeded), what it reserved is released, and the connection is closed behind the answer.

--- a/packages/cassiahaven-entry/cassiahaven_entry/caller_connection.py
+++ b/packages/cassiahaven-entry/cassiahaven_entry/caller_connection.py
@@ -239,6 +239,7 @@
         self._reader: greenlet | None = None
         self._room: Event | None = None
         self._used_ms = now_ms()
+        self._is_reading_body = False
 
     @property
     def idle_timeout_s(self) -> float:
@@ -246,7 +247,12 @@
         return self._frontend.idle_timeout_s
 
     def is_in_use(self) -> bool:
-        """Return whether an answer is due, or was sent within the idle timeout."""
+        """Return whether an answer is due, or was sent within the idle timeout.
+
+        While a body is read, the caller is the one that has to send.
+        """
+        if self._is_reading_body:
+            return False
         is_recent = now_ms() - self._used_ms < self.idle_timeout_s * MS_PER_S
         return not self.pipeline.is_empty or is_recent
 
@@ -287,7 +293,11 @@
         eventlet.spawn_n(exchange.run)
         has_body = self.environ.get("CONTENT_LENGTH", "0") != "0"
         if has_known_end and (has_body or "HTTP_TRANSFER_ENCODING" in self.environ):
-            exchange.await_body()
+            self._is_reading_body = True
+            try:
+                exchange.await_body()
+            finally:
+                self._is_reading_body = False
         else:
             exchange.record_body(0)
 
--- a/packages/cassiahaven-entry/cassiahaven_entry/gateway.py
+++ b/packages/cassiahaven-entry/cassiahaven_entry/gateway.py
@@ -25,7 +25,7 @@
     Environ,
     RequestRejected,
 )
-from cassiahaven_entry.clock import MS_PER_S
+from cassiahaven_entry.clock import MS_PER_S, now_ms
 from cassiahaven_entry.event import LogEvent, log
 from cassiahaven_entry.http_transport import HOP_BY_HOP
 from cassiahaven_entry.metrics import Metrics
@@ -36,9 +36,14 @@
 BODY_PART_BYTES = 65_536
 PARTS_WITHOUT_YIELD = 16  # a caller may send without a pause, so other tasks would starve
 MEMORY_RETRY_MS = 1000.0  # most uploads have ended by then
+LONGEST_UPLOAD_S = 600.0  # bounds what callers name as their deadline
 BACKLOG = 1024
 
 
+class _UploadExpired(Exception):
+    """Raised when the caller's deadline passes while its body is read."""
+
+
 class HttpFrontend(CallerFrontend):
     """Serve callers over HTTP.
 
@@ -188,10 +193,18 @@
         declared_bytes = int(declared) if declared else 0
         self._reserve(declared_bytes, head, reservation)
         buffer = BodyBuffer(declared_bytes)
+        exchange: Exchange = environ[EXCHANGE]
+        failure: RefusalReason | None = None
         try:
-            self._read_parts(environ, head, buffer, reservation)
+            with eventlet.Timeout(_left_s(head, exchange), _UploadExpired):
+                self._read_parts(environ, head, buffer, reservation)
+        except _UploadExpired:
+            failure = RefusalReason.DEADLINE_EXCEEDED
         except (OSError, ValueError):
-            raise RequestRejected(head.service, RefusalReason.BODY_INCOMPLETE) from None
+            failure = RefusalReason.BODY_INCOMPLETE
+        if failure is not None:
+            exchange.end_connection()  # the rest of the body is not read
+            raise RequestRejected(head.service, failure)
         if declared and buffer.size != declared_bytes:
             raise RequestRejected(head.service, RefusalReason.BODY_INCOMPLETE)
         return buffer.body()
@@ -275,6 +288,14 @@
             close()
 
 
+def _left_s(head: CallHead, exchange: Exchange) -> float | None:
+    """Return the time left to read a body, ``None`` if its caller named no deadline."""
+    if head.timeout_ms is None:
+        return None
+    left_s = (exchange.arrived_ms + head.timeout_ms - now_ms()) / MS_PER_S
+    return min(max(0.0, left_s), LONGEST_UPLOAD_S)
+
+
 def _status_line(status: int) -> str:
     try:
         return f"{int(status)} {HTTPStatus(status).phrase}"
--- a/packages/cassiahaven-entry/tests/test_caller_connection.py
+++ b/packages/cassiahaven-entry/tests/test_caller_connection.py
@@ -31,7 +31,9 @@
         return None
 
     def read_head(self, environ):
-        return CallHead("s", environ[TARGET], None, None, None, 1_000_000)
+        deadline_ms = environ.get("HTTP_DEADLINE_MS")
+        timeout_ms = None if deadline_ms is None else float(deadline_ms)
+        return CallHead("s", environ[TARGET], None, None, timeout_ms, 1_000_000)
 
     def local_response(self, service, outcome, *, request_id=None, retry_after_ms=None):
         body = outcome.header.encode()
@@ -540,6 +542,30 @@
     assert caller.read()[1] == b"firstsecond"
 
 
+@pytest.mark.parametrize("headers", ["", "Deadline-Ms: 200\r\n"])
+def test_upload_that_stalls_is_given_up_and_its_memory_released(backend, connect, memory, headers):
+    # A body whose sender stayed silent was waited for without end.
+    caller = connect()
+    head = f"POST /now/stalled HTTP/1.1\r\nHost: h\r\n{headers}Content-Length: 600000\r\n\r\n"
+    caller.socket.sendall(head.encode() + b"x" * 300_000)
+    until(lambda: memory.held_bytes == len(UPLOAD))
+    status, answer, is_last = caller.read()
+    reason = "deadline-exceeded" if headers else "body-incomplete"
+    assert (status, answer, is_last) == (400, f"not-run; reason={reason}".encode(), True)
+    assert memory.held_bytes == 0
+    assert not backend.started
+
+
+def test_slow_upload_is_read_within_its_deadline(backend, connect, memory):
+    caller = connect()
+    head = "POST /now/slow HTTP/1.1\r\nHost: h\r\nDeadline-Ms: 5000\r\nContent-Length: 8\r\n\r\n"
+    caller.socket.sendall(head.encode())
+    for _ in range(8):
+        eventlet.sleep(0.1)  # in all over twice the idle timeout
+        caller.socket.sendall(b"x")
+    assert caller.read()[:2] == (200, b"/now/slow xxxxxxxx")
+
+
 def test_memory_is_released_if_the_caller_leaves_within_its_body(backend, connect, memory):
     caller = connect()
     caller.socket.sendall(
