Test that a body is dropped while its answer is streamed

The memory of a body was released in the count before its answer was streamed; nothing held that its bytes go too. The test fails if the call keeps the body (drop_body left out), and if the reading of the answer keeps the request.

--- a/tests/test_platform_uploads.py
+++ b/tests/test_platform_uploads.py
@@ -12,6 +12,7 @@
 
 import pytest
 
+from cassiahaven_standins.fleet import wait_until
 from cassiahaven_standins.platform_endpoint import endpoint_answer
 from cassiahaven_standins.platform_fleet import GRACE_MS, MEMORY_MB, platform_fleet
 
@@ -109,6 +110,22 @@
     assert resident_mb(entry) < before_mb + UPLOAD_BYTES / BYTES_PER_MB / 2
 
 
+def test_body_is_dropped_while_its_answer_is_streamed(fleet, request_id):
+    # A caller that reads a long answer slowly kept its body in memory all that time.
+    entry = fleet.entries[0]
+    before_mb = resident_mb(entry)
+    head = (
+        f"POST /unsafe/x/1 HTTP/1.1\r\nHost: h.example\r\nRequest-Id: {request_id()}\r\n"
+        f"Deadline-Ms: {DEADLINE_MS}\r\nContent-Length: {UPLOAD_BYTES}\r\n\r\n"
+    )
+    with socket.create_connection(("127.0.0.1", entry.front_port)) as caller:
+        caller.sendall(head.encode() + b"x" * UPLOAD_BYTES)
+        assert caller.recv(12) == b"HTTP/1.1 200"
+        limit_mb = before_mb + UPLOAD_BYTES / BYTES_PER_MB / 2
+        wait_until(lambda: resident_mb(entry) < limit_mb, "the body is dropped", 5)
+        assert not entry.events("answer_streamed")
+
+
 def test_stop_does_not_wait_for_an_upload_that_stalls(fleet, request_id):
     entry = fleet.entries[0]
     head = (
