--- a/packages/cassiahaven-entry/cassiahaven_entry/http_transport.py
+++ b/packages/cassiahaven-entry/cassiahaven_entry/http_transport.py
@@ -285,13 +285,13 @@
         )
         if response.connection is not None:
             response.connection.extend(left_ms + BODY_GRACE_MS)
-        body = self._parts(address, request, response, record)
+        body = self._parts(address, request.request_id, response, record)
         return UpstreamAnswer(response.status, headers, body, response.close, signal, record)
 
     def _parts(
         self,
         address: EndpointAddress,
-        request: UpstreamRequest,
+        request_id: str | None,
         response: urllib3.BaseHTTPResponse,
         record: AnswerRecord,
     ) -> Iterator[bytes]:
@@ -305,7 +305,7 @@
         else:
             response.release_conn()
             record.is_whole = True
-            self._report_surplus(address, record, request.request_id)
+            self._report_surplus(address, record, request_id)
         finally:
             self._count(record)
 
