Split the endpoint and what it admits from the pool

pool.py keeps the choice of endpoints. endpoint.py holds what an endpoint is and is believed to be, endpoint_gate.py what it admits from this entry (slots, room, rate limit), endpoint_address.py its address. Tests change only in names: imports, and the gate's fields are reached through it.

--- a/benchmarks/balancers.py
+++ b/benchmarks/balancers.py
@@ -7,7 +7,10 @@
 
 from benchmarks.simulation import EventLoop, Job, SimulatedEndpoint
 from cassiahaven_core.admission import Admission, WaitingCall
-from cassiahaven_core.pool import CallResult, EndpointAddress, LoadReport, Pool, SlotShare
+from cassiahaven_core.endpoint import CallResult, LoadReport
+from cassiahaven_core.endpoint_address import EndpointAddress
+from cassiahaven_core.endpoint_gate import SlotShare
+from cassiahaven_core.pool import Pool
 from cassiahaven_core.service import Dispatch, Effect, Refuse, ServicePolicy
 from cassiahaven_core.table import CellValue
 
--- a/benchmarks/slopes.py
+++ b/benchmarks/slopes.py
@@ -7,11 +7,13 @@
 from typing import Any
 
 from cassiahaven_core.admission import Admission, WaitingCall
+from cassiahaven_core.endpoint import CallResult
+from cassiahaven_core.endpoint_address import EndpointAddress
 from cassiahaven_core.explanation import Explanation, ExplanationRing, Step
 from cassiahaven_core.idempotency import KeyRegistry, ScopedKey, join_prefix
 from cassiahaven_core.outcome import Ran
 from cassiahaven_core.peer_message import Heartbeat, TableRows, decode, encode, revision_digest
-from cassiahaven_core.pool import CallResult, EndpointAddress, Pool
+from cassiahaven_core.pool import Pool
 from cassiahaven_core.rendezvous import rank
 from cassiahaven_core.service import Dispatch, ServicePolicy
 from cassiahaven_core.table import CellValue, Row, ServiceTable
--- a/packages/cassiahaven-core/cassiahaven_core/edge.py
+++ b/packages/cassiahaven-core/cassiahaven_core/edge.py
@@ -7,8 +7,9 @@
 from typing import TypeAlias
 
 from cassiahaven_core.answer_record import AnswerRecord
+from cassiahaven_core.endpoint import CallResult, LoadReport, ProbeFailed
+from cassiahaven_core.endpoint_address import EndpointAddress
 from cassiahaven_core.membership import Member
-from cassiahaven_core.pool import CallResult, EndpointAddress, LoadReport, ProbeFailed
 from cassiahaven_core.registry import Registration
 from cassiahaven_core.route import GatewayConfig
 from cassiahaven_core.table import ServiceTable
--- /dev/null
+++ b/packages/cassiahaven-core/cassiahaven_core/endpoint_gate.py
@@ -0,0 +1,178 @@
+"""What one endpoint admits from this entry: its slots, and the rate limit that it names."""
+
+import math
+from collections import deque
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from zlib import crc32
+
+from cassiahaven_core.endpoint_address import EndpointAddress
+from cassiahaven_core.rate_limit import (
+    NOTICE_GUARD_MS,
+    UNLIMITED,
+    WINDOW_MS,
+    RateLimit,
+    RateShare,
+)
+
+REMOTE_ZONE_SLOT_SHARE = 0.5
+
+
+@dataclass(frozen=True, slots=True)
+class SlotShare:
+    """Divide each endpoint's slots among the entries that serve the same callers.
+
+    The shares of all members add up to the slots, so calls wait at the entries, where they are
+    ordered by weight, and not at the endpoints.
+
+    Attributes:
+        position: Index of this entry among the members, ``None`` if it is not a member.
+        size: Number of members.
+    """
+
+    position: int | None = 0
+    size: int = 1
+
+    def slots(self, address: EndpointAddress) -> int:
+        """Return the in-flight limit of this entry at an endpoint."""
+        if self.position is None:
+            return 1
+        if address.distance_ms:
+            return max(1, int(address.slots * REMOTE_ZONE_SLOT_SHARE))
+        if self.size == 1:
+            return address.slots
+        whole, rest = divmod(address.slots, self.size)
+        turn = (self.position + crc32(address.endpoint.encode())) % self.size
+        return whole + (turn < rest)
+
+
+FULL_SLOT_SHARE = SlotShare()
+
+
+@dataclass(slots=True)
+class EndpointGate:
+    """Slots and rate limit of one endpoint, as far as this entry may use them.
+
+    Attributes:
+        limit: In-flight limit of this entry at the endpoint.
+        room: Calls that the endpoint is believed to take, lowered by each unanswered one.
+        rate_limit: This entry's share of the rate limit that it names, ``None`` for none.
+        sent_ms: When this entry sent each of its calls within ``WINDOW_MS``.
+        rate_limit_changed_ms: When this entry last learned of another rate limit.
+        unreadable_rate_limit: Text of its last rate limit if that cannot be read, else ``None``.
+    """
+
+    limit: int = 0
+    room: float = math.inf
+    rate_limit: RateLimit | None = None
+    sent_ms: deque[float] = field(default_factory=deque)
+    rate_limit_changed_ms: float = float("-inf")
+    unreadable_rate_limit: str | None = None
+
+    @property
+    def rate_limit_per_s(self) -> float:
+        """Return the calls a second that the endpoint takes from all entries together."""
+        return self.rate_limit.limit_per_s if self.rate_limit is not None else UNLIMITED
+
+    def opens_in_ms(self, now_ms: float) -> float:
+        """Return the time until the rate limit lets a call through, 0 without a limit."""
+        if self.rate_limit is None:
+            return 0.0
+        return self.rate_limit.opens_in_ms(self.sent_ms, now_ms)
+
+    def count_sent(self, now_ms: float) -> None:
+        """Record a call that is about to be sent."""
+        self.sent_ms.append(now_ms)
+        while self.sent_ms[0] <= now_ms - WINDOW_MS:
+            self.sent_ms.popleft()
+        if self.rate_limit is not None:
+            self.rate_limit.take(now_ms)
+
+    def give_back(self, counted_ms: float, *, is_rate_limited: bool) -> None:
+        """Undo the record of a call that was not sent."""
+        if counted_ms in self.sent_ms:
+            self.sent_ms.remove(counted_ms)
+        if is_rate_limited and self.rate_limit is not None:
+            self.rate_limit.give_back()
+
+    def apply_rate_limit(
+        self,
+        rate_per_s: float,
+        *,
+        zone: str,
+        share: RateShare,
+        started_ms: float | None,
+        now_ms: float,
+    ) -> float | None:
+        """Apply the rate limit named in the answer to a call, or that it named none.
+
+        Args:
+            rate_per_s: Calls a second, infinite if the answer names no limit.
+            zone: Availability zone of the endpoint.
+            share: This entry's share of the limits.
+            started_ms: When the call was counted at the endpoint, ``None`` if it is not.
+            now_ms: Current time, milliseconds.
+
+        Returns:
+            The limit before, ``None`` if it did not change.
+        """
+        limit = self.rate_limit
+        before = self.rate_limit_per_s
+        if rate_per_s == UNLIMITED:
+            # The answer may have been made before the last one that named a limit.
+            if limit is None or started_ms is None or started_ms < limit.named_ms:
+                return None
+            self.rate_limit = None
+        elif limit is None:
+            self.rate_limit = RateLimit(rate_per_s, zone, share, now_ms)
+        else:
+            limit.named_ms = now_ms
+            limit.ends_ms = UNLIMITED
+            limit.change(rate_per_s, share, now_ms)
+        if before == rate_per_s:
+            return None
+        self.rate_limit_changed_ms = now_ms
+        return before
+
+    def apply_rate_limit_notice(
+        self,
+        rate_per_s: float,
+        *,
+        zone: str,
+        share: RateShare,
+        ends_ms: Callable[[float], float],
+        now_ms: float,
+    ) -> float | None:
+        """Apply the rate limit that another entry was told, infinite for none.
+
+        Notices reach an entry over several links, so one that contradicts what became known just
+        before may be older.
+
+        Args:
+            rate_per_s: Calls a second.
+            zone: Availability zone of the endpoint.
+            share: This entry's share of the limits.
+            ends_ms: Returns when a notice of now ends, unless another one or an answer confirms it.
+            now_ms: Current time, milliseconds.
+
+        Returns:
+            The limit before, ``None`` if it did not change.
+        """
+        limit = self.rate_limit
+        before = self.rate_limit_per_s
+        last_ms = max(self.rate_limit_changed_ms, limit.named_ms if limit else -math.inf)
+        if limit is not None and before == rate_per_s:
+            limit.announced_ms = now_ms
+            if limit.ends_ms < UNLIMITED:
+                limit.ends_ms = ends_ms(now_ms)
+        if before == rate_per_s or now_ms - last_ms < NOTICE_GUARD_MS:
+            return None
+        if rate_per_s == UNLIMITED:
+            self.rate_limit = None
+        elif limit is None:
+            self.rate_limit = RateLimit(rate_per_s, zone, share, now_ms)
+            self.rate_limit.ends_ms = ends_ms(now_ms)
+        else:
+            limit.change(rate_per_s, share, now_ms)
+        self.rate_limit_changed_ms = now_ms
+        return before
--- a/packages/cassiahaven-core/cassiahaven_core/service.py
+++ b/packages/cassiahaven-core/cassiahaven_core/service.py
@@ -5,15 +5,10 @@
 from typing import TypeAlias
 
 from cassiahaven_core.admission import Admission, WaitingCall
+from cassiahaven_core.endpoint import CallResult, Endpoint, LoadReport, ProbeFailed
+from cassiahaven_core.endpoint_address import EndpointAddress
 from cassiahaven_core.load_shedding import MIN_LATENCY_SHARE, unservable_calls
-from cassiahaven_core.pool import (
-    CallResult,
-    Endpoint,
-    EndpointAddress,
-    LoadReport,
-    Pool,
-    ProbeFailed,
-)
+from cassiahaven_core.pool import Pool
 from cassiahaven_core.rate_limit import MS_PER_S, UNLIMITED
 from cassiahaven_core.reason import RefusalReason, RetryReason
 from cassiahaven_core.retry import RetryBudget
--- a/packages/cassiahaven-core/cassiahaven_core/steering.py
+++ b/packages/cassiahaven-core/cassiahaven_core/steering.py
@@ -3,7 +3,7 @@
 import math
 from dataclasses import dataclass
 
-from cassiahaven_core.pool import SlotShare
+from cassiahaven_core.endpoint_gate import SlotShare
 from cassiahaven_core.rendezvous import rank
 
 STANDBY_COUNT = 2
--- a/packages/cassiahaven-core/tests/conftest.py
+++ b/packages/cassiahaven-core/tests/conftest.py
@@ -6,7 +6,8 @@
 import pytest
 
 from cassiahaven_core.admission import Admission, WaitingCall
-from cassiahaven_core.pool import EndpointAddress, Pool
+from cassiahaven_core.endpoint_address import EndpointAddress
+from cassiahaven_core.pool import Pool
 from cassiahaven_core.service import ServicePolicy
 from cassiahaven_core.table import CellValue
 
--- a/packages/cassiahaven-core/tests/test_rate_limit.py
+++ b/packages/cassiahaven-core/tests/test_rate_limit.py
@@ -12,7 +12,9 @@
 from hypothesis import strategies as st
 
 from cassiahaven_core.admission import Admission, WaitingCall
-from cassiahaven_core.pool import CallResult, EndpointAddress, LoadReport, Pool
+from cassiahaven_core.endpoint import CallResult, LoadReport
+from cassiahaven_core.endpoint_address import EndpointAddress
+from cassiahaven_core.pool import Pool
 from cassiahaven_core.rate_limit import (
     NOTICE_GUARD_MS,
     NOTICE_LIFETIME_MS,
@@ -104,7 +106,7 @@
         if limit < UNLIMITED:
             self.told_ms.setdefault((entry, endpoint), now_ms)
         before = policy.pool.apply_rate_limit(endpoint, call_id, limit, now_ms)
-        named = policy.pool.endpoint_by_id[endpoint].rate_limit
+        named = policy.pool.endpoint_by_id[endpoint].gate.rate_limit
         if before is not None or (named is not None and named.announce(now_ms)):
             self._at(now_ms + NOTICE_DELAY_MS, "notice", entry, endpoint, limit)
         self.answered += 1
@@ -218,7 +220,7 @@
         pool.mark_sent("z0-0", f"c{at_ms}")
     pool.apply_rate_limit("z0-0", "c7900.0", 1.1, 8050.0)
     for at_ms in range(8050, 20_000, 10):
-        if endpoint.opens_in_ms(at_ms) == 0:
+        if endpoint.gate.opens_in_ms(at_ms) == 0:
             pool.start(endpoint, f"c{at_ms}", "p", at_ms)
             pool.mark_sent("z0-0", f"c{at_ms}")
             sent_ms.append(at_ms)
@@ -296,10 +298,10 @@
     name_limit(policy, "z0-0", 1.0, 0.0)
     endpoint = policy.pool.endpoint_by_id["z0-0"]
     policy.pool.start(endpoint, "moved", "p", 10_000.0)
-    assert endpoint.opens_in_ms(10_000.0) == pytest.approx(1000.0)
+    assert endpoint.gate.opens_in_ms(10_000.0) == pytest.approx(1000.0)
     policy.pool.report_load("z0-0", LoadReport(3, 3, 5.0), 10_000.0)
     assert policy.pool.move("z0-0", "moved", 10_000.0, excluded=frozenset()) is not None
-    assert endpoint.opens_in_ms(10_000.0) == 0
+    assert endpoint.gate.opens_in_ms(10_000.0) == 0
 
 
 def test_call_cancelled_before_it_was_sent_uses_up_the_rate_limit():
@@ -308,7 +310,7 @@
     endpoint = policy.pool.endpoint_by_id["z0-0"]
     policy.pool.start(endpoint, "left", "p", 1000.0)
     policy.pool.finish("z0-0", "left", CallResult.CANCELLED, 1000.0)
-    assert endpoint.opens_in_ms(1000.0) == 0
+    assert endpoint.gate.opens_in_ms(1000.0) == 0
 
 
 def test_endpoint_listed_again_is_sent_calls_without_its_rate_limit():
--- a/packages/cassiahaven-core/tests/test_service.py
+++ b/packages/cassiahaven-core/tests/test_service.py
@@ -3,8 +3,10 @@
 from collections import Counter
 from dataclasses import replace
 
+from cassiahaven_core.endpoint import CallResult
+from cassiahaven_core.endpoint_address import EndpointAddress
+from cassiahaven_core.endpoint_gate import SlotShare
 from cassiahaven_core.lifecycle import EndpointEvent, EndpointStatus
-from cassiahaven_core.pool import CallResult, EndpointAddress, SlotShare
 from cassiahaven_core.reason import RefusalReason
 from cassiahaven_core.retry import RetryLimits
 from cassiahaven_core.service import Dispatch, Refuse
--- a/packages/cassiahaven-core/tests/test_worst_load.py
+++ b/packages/cassiahaven-core/tests/test_worst_load.py
@@ -11,14 +11,10 @@
 from hypothesis import strategies as st
 
 from cassiahaven_core.admission import Admission, WaitingCall
+from cassiahaven_core.endpoint import CallResult, LoadReport, ProbeFailed
+from cassiahaven_core.endpoint_address import EndpointAddress
 from cassiahaven_core.load_shedding import unservable_calls
-from cassiahaven_core.pool import (
-    CallResult,
-    EndpointAddress,
-    LoadReport,
-    Pool,
-    ProbeFailed,
-)
+from cassiahaven_core.pool import Pool
 from cassiahaven_core.quarantine import Quarantine
 from cassiahaven_core.reason import RefusalReason
 from cassiahaven_core.retry import RetryBudget, RetryLimits
@@ -526,7 +522,7 @@
     answered, _, service_policy = replay_hanging_endpoint(gives_up=True)
     assert answered > without
     assert answered >= 390
-    assert service_policy.pool.endpoint_by_id["a0"].room <= 3
+    assert service_policy.pool.endpoint_by_id["a0"].gate.room <= 3
 
 
 @pytest.fixture
@@ -547,22 +543,22 @@
 ):
     service_policy, endpoint = endpoint_with_three_calls
     service_policy.pool.finish("a0", "2", CallResult.TIMEOUT, 7 * WORK_MS)
-    assert endpoint.room == 2
+    assert endpoint.gate.room == 2
     assert service_policy.pool.choose(800.0, idempotent=True) is None
     service_policy.pool.finish("a0", "1", CallResult.OK, 900.0)
     assert service_policy.pool.choose(900.0, idempotent=True) is endpoint
     for number in range(10):
         run_one(service_policy, f"more-{number}", "a0", 900.0, took_ms=WORK_MS)
-    assert endpoint.room > 3
+    assert endpoint.gate.room > 3
 
 
 def test_a_deadline_shorter_than_the_work_may_take_says_nothing_about_the_room(
     endpoint_with_three_calls,
 ):
     service_policy, endpoint = endpoint_with_three_calls
-    room = endpoint.room
+    room = endpoint.gate.room
     service_policy.pool.finish("a0", "2", CallResult.TIMEOUT, 5 * WORK_MS)
-    assert endpoint.room == room
+    assert endpoint.gate.room == room
     assert service_policy.pool.choose(700.0, idempotent=True) is endpoint
 
 
--- a/packages/cassiahaven-entry/cassiahaven_entry/attempts.py
+++ b/packages/cassiahaven-entry/cassiahaven_entry/attempts.py
@@ -17,9 +17,10 @@
     UpstreamRequest,
     UpstreamTransport,
 )
+from cassiahaven_core.endpoint import CallResult, LoadReport, ProbeFailed
+from cassiahaven_core.endpoint_address import EndpointAddress
 from cassiahaven_core.outcome import NotRun, Outcome, Ran, Unknown
 from cassiahaven_core.peer_message import CrashNotice, DrainNotice, RateLimitNotice
-from cassiahaven_core.pool import CallResult, EndpointAddress, LoadReport, ProbeFailed
 from cassiahaven_core.quarantine import Quarantine
 from cassiahaven_core.reason import RefusalReason, UnknownReason
 from cassiahaven_core.service import Effect, Refuse
--- a/packages/cassiahaven-entry/cassiahaven_entry/call.py
+++ b/packages/cassiahaven-entry/cassiahaven_entry/call.py
@@ -8,9 +8,9 @@
 from cassiahaven_core.answer import Answer
 from cassiahaven_core.answer_record import AnswerRecord
 from cassiahaven_core.edge import CallRequest, TransferBroken, UpstreamAnswer
+from cassiahaven_core.endpoint import CallResult
 from cassiahaven_core.explanation import Explanation, Step
 from cassiahaven_core.outcome import Outcome
-from cassiahaven_core.pool import CallResult
 from cassiahaven_core.quarantine import request_fingerprint
 from cassiahaven_core.settings import ServiceSettings
 from cassiahaven_entry.clock import now_ms
--- a/packages/cassiahaven-entry/cassiahaven_entry/endpoints.py
+++ b/packages/cassiahaven-entry/cassiahaven_entry/endpoints.py
@@ -5,8 +5,8 @@
 import eventlet
 
 from cassiahaven_core.edge import Vm, VmList, VmListUnavailable, VmRole
+from cassiahaven_core.endpoint_address import EndpointAddress
 from cassiahaven_core.peer_message import DrainNotice
-from cassiahaven_core.pool import EndpointAddress
 from cassiahaven_core.settings import Settings
 from cassiahaven_entry.clock import MS_PER_S
 from cassiahaven_entry.drains import Drains
--- a/packages/cassiahaven-entry/cassiahaven_entry/header_dialect.py
+++ b/packages/cassiahaven-entry/cassiahaven_entry/header_dialect.py
@@ -3,7 +3,7 @@
 from http import HTTPStatus
 
 from cassiahaven_core.edge import CallRequest, ResponseSignals, UpstreamDialect
-from cassiahaven_core.pool import LoadReport, ProbeFailed
+from cassiahaven_core.endpoint import LoadReport, ProbeFailed
 from cassiahaven_core.rate_limit import parse_rate, read_rate_limit
 from cassiahaven_entry import call_header
 
--- a/packages/cassiahaven-entry/cassiahaven_entry/http_probe.py
+++ b/packages/cassiahaven-entry/cassiahaven_entry/http_probe.py
@@ -3,7 +3,7 @@
 import urllib3
 
 from cassiahaven_core.edge import UpstreamProbe
-from cassiahaven_core.pool import EndpointAddress
+from cassiahaven_core.endpoint_address import EndpointAddress
 
 PROBE_TIMEOUT_S = 0.5
 PROBE_PATH = "/health"
--- a/packages/cassiahaven-entry/cassiahaven_entry/http_transport.py
+++ b/packages/cassiahaven-entry/cassiahaven_entry/http_transport.py
@@ -27,7 +27,8 @@
     UpstreamRequest,
     UpstreamTransport,
 )
-from cassiahaven_core.pool import CallResult, EndpointAddress, LoadReport, ProbeFailed
+from cassiahaven_core.endpoint import CallResult, LoadReport, ProbeFailed
+from cassiahaven_core.endpoint_address import EndpointAddress
 from cassiahaven_entry._connection import PeekingConnection
 from cassiahaven_entry.event import LogEvent, log
 from cassiahaven_entry.metrics import Metrics
--- a/packages/cassiahaven-entry/cassiahaven_entry/prober.py
+++ b/packages/cassiahaven-entry/cassiahaven_entry/prober.py
@@ -5,9 +5,9 @@
 import eventlet
 
 from cassiahaven_core.edge import ObjectStore, StoreUnavailable, UpstreamProbe
+from cassiahaven_core.endpoint import Endpoint
 from cassiahaven_core.lease import RENEWAL_MS, Lease, LeaseRecord
 from cassiahaven_core.lifecycle import EndpointEvent, EndpointStatus
-from cassiahaven_core.pool import Endpoint
 from cassiahaven_core.probe_budget import ProbeBudget
 from cassiahaven_core.settings import ServiceSettings
 from cassiahaven_entry.clock import MS_PER_S, now_ms
@@ -112,7 +112,7 @@
 
     def _ejected_endpoint(self) -> Endpoint | None:
         for endpoint in self._task.policy.pool.endpoint_by_id.values():
-            is_open = endpoint.opens_in_ms(now_ms()) == 0
+            is_open = endpoint.gate.opens_in_ms(now_ms()) == 0
             is_near = endpoint.address.distance_ms == 0
             if endpoint.status is EndpointStatus.EJECTED and is_near and is_open:
                 return endpoint
--- a/packages/cassiahaven-entry/cassiahaven_entry/routed_node.py
+++ b/packages/cassiahaven-entry/cassiahaven_entry/routed_node.py
@@ -8,6 +8,7 @@
 from eventlet.greenthread import GreenThread
 
 from cassiahaven_core.edge import CallResponse, StoreUnavailable, Topic
+from cassiahaven_core.endpoint_address import EndpointAddress
 from cassiahaven_core.finding import InvalidDocument
 from cassiahaven_core.membership import Fleet, Member
 from cassiahaven_core.peer_message import (
@@ -17,7 +18,6 @@
     TableRows,
     WatcherReport,
 )
-from cassiahaven_core.pool import EndpointAddress
 from cassiahaven_core.quarantine import Quarantine
 from cassiahaven_core.registry import Registration
 from cassiahaven_core.retry import RetryLimits
--- a/packages/cassiahaven-entry/cassiahaven_entry/service_task.py
+++ b/packages/cassiahaven-entry/cassiahaven_entry/service_task.py
@@ -5,16 +5,12 @@
 from eventlet.event import Event
 
 from cassiahaven_core.admission import Admission, WaitingCall
+from cassiahaven_core.endpoint import CallResult, LoadReport, ProbeFailed
+from cassiahaven_core.endpoint_address import EndpointAddress
+from cassiahaven_core.endpoint_gate import SlotShare
 from cassiahaven_core.lifecycle import EndpointEvent, EndpointStatus
 from cassiahaven_core.peer_message import RateLimitNotice
-from cassiahaven_core.pool import (
-    CallResult,
-    EndpointAddress,
-    LoadReport,
-    Pool,
-    ProbeFailed,
-    SlotShare,
-)
+from cassiahaven_core.pool import Pool
 from cassiahaven_core.rate_limit import NOTABLE_CHANGE, UNLIMITED, ShareHistory
 from cassiahaven_core.reason import RefusalReason, RetryReason
 from cassiahaven_core.service import Dispatch, Effect, Refuse, ServicePolicy
@@ -159,11 +155,11 @@
         if before is not None:
             self._log_rate_limit(endpoint, before, rate_per_s, call=call_id)
         is_news = before is not None and _is_notable(before, rate_per_s)
-        is_due = known.rate_limit is not None and known.rate_limit.announce(now_ms())
+        is_due = known.gate.rate_limit is not None and known.gate.rate_limit.announce(now_ms())
         if not is_news and not is_due:
             return None
         return RateLimitNotice(
-            self.service, endpoint, known.address.incarnation, _finite(known.rate_limit_per_s)
+            self.service, endpoint, known.address.incarnation, _finite(known.gate.rate_limit_per_s)
         )
 
     def apply_rate_limit_notice(self, notice: RateLimitNotice) -> None:
@@ -190,9 +186,9 @@
     def record_unreadable_rate_limit(self, endpoint: str, call_id: str, text: str) -> None:
         """Log a rate limit that cannot be read, once while its text stays the same."""
         known = self.policy.pool.endpoint_by_id.get(endpoint)
-        if known is None or known.unreadable_rate_limit == text:
+        if known is None or known.gate.unreadable_rate_limit == text:
             return
-        known.unreadable_rate_limit = text
+        known.gate.unreadable_rate_limit = text
         log(
             LogEvent.RATE_LIMIT_UNREADABLE,
             service=self.service,
--- a/packages/cassiahaven-entry/tests/test_attempts.py
+++ b/packages/cassiahaven-entry/tests/test_attempts.py
@@ -17,8 +17,9 @@
     UpstreamAnswer,
     UpstreamTransport,
 )
+from cassiahaven_core.endpoint import CallResult
+from cassiahaven_core.endpoint_address import EndpointAddress
 from cassiahaven_core.outcome import NotRun, Ran, Unknown
-from cassiahaven_core.pool import CallResult, EndpointAddress
 from cassiahaven_core.quarantine import Quarantine
 from cassiahaven_core.settings import ServiceSettings
 from cassiahaven_entry import attempts as attempts_module
--- a/packages/cassiahaven-entry/tests/test_http_transport.py
+++ b/packages/cassiahaven-entry/tests/test_http_transport.py
@@ -10,7 +10,8 @@
 import pytest
 
 from cassiahaven_core.edge import SendFailed, TransferBroken, UpstreamRequest
-from cassiahaven_core.pool import CallResult, EndpointAddress
+from cassiahaven_core.endpoint import CallResult
+from cassiahaven_core.endpoint_address import EndpointAddress
 from cassiahaven_entry._connection import UpstreamSocket
 from cassiahaven_entry.header_dialect import HeaderDialect
 from cassiahaven_entry.http_transport import HttpTransport
--- a/packages/cassiahaven-entry/tests/test_prober.py
+++ b/packages/cassiahaven-entry/tests/test_prober.py
@@ -5,9 +5,9 @@
 import pytest
 
 from cassiahaven_core.edge import UpstreamProbe
+from cassiahaven_core.endpoint_address import EndpointAddress
 from cassiahaven_core.lease import GUARD_MS, LEASE_MS
 from cassiahaven_core.lifecycle import EndpointEvent
-from cassiahaven_core.pool import EndpointAddress
 from cassiahaven_core.settings import ServiceSettings
 from cassiahaven_core.table import CellValue, Row, ServiceTable
 from cassiahaven_entry import service_task as service_task_module
--- a/packages/cassiahaven-entry/tests/test_service_task.py
+++ b/packages/cassiahaven-entry/tests/test_service_task.py
@@ -4,7 +4,7 @@
 import pytest
 
 from cassiahaven_core.admission import WaitingCall
-from cassiahaven_core.pool import EndpointAddress
+from cassiahaven_core.endpoint_address import EndpointAddress
 from cassiahaven_core.service import Dispatch
 from cassiahaven_entry.clock import now_ms
 from cassiahaven_entry.service_task import ServiceTask
--- a/tests/test_answer_framing.py
+++ b/tests/test_answer_framing.py
@@ -22,7 +22,7 @@
 import base64, json, sys
 import eventlet; eventlet.monkey_patch()
 from cassiahaven_core.edge import SendFailed, TransferBroken, UpstreamRequest
-from cassiahaven_core.pool import EndpointAddress
+from cassiahaven_core.endpoint_address import EndpointAddress
 from cassiahaven_entry.http_transport import HttpTransport
 from cassiahaven_platform.dialects import PlatformUpstreams
 port, count, body_bytes = map(int, sys.argv[1:])
