Take endpoints that say in an answer that they leave out of use

An endpoint that leaves now says so in all its answers. The entry read that only in its own dialect, not in the platform's, so callers' requests went on reaching such an endpoint until the store named it as draining, and again when an older list named it as ready.

What an entry is told in an answer (of a call, refusal, failure, streamed answer or health check; not in a 421 of another endpoint) is kept by the pool for that start of the endpoint, with source and age, apart from the store's lists: a start that is listed again stays out of use, a new start begins clean. Calls that wait, retries, and calls that were assigned to the endpoint but are not sent yet go elsewhere.

The unit tests of the core and of attempts test interfaces that are new here.

--- a/packages/cassiahaven-core/cassiahaven_core/edge.py
+++ b/packages/cassiahaven-core/cassiahaven_core/edge.py
@@ -209,7 +209,7 @@
 
     Attributes:
         load: Load of the endpoint, ``None`` if not reported.
-        draining: Whether the endpoint is draining and wants no new calls.
+        draining: Whether the endpoint that answered leaves and wants no new calls.
         not_run: Whether the endpoint states that it did not run the call.
         is_misdirected: Whether another endpoint answered at this address.
         is_genuine: Whether the response is the endpoint's own and belongs to this call.
@@ -217,6 +217,7 @@
         rate_limit_per_s: Calls a second that the endpoint takes from all entries together, infinite
             if it names no limit, ``None`` if the response does not tell.
         unreadable_rate_limit: Text of a rate limit that cannot be read, ``None`` otherwise.
+        instance: Name of the endpoint that answered, ``None`` if the response does not tell.
     """
 
     load: LoadReport | None = None
@@ -227,6 +228,7 @@
     request_id: str | None = None
     rate_limit_per_s: float | None = None
     unreadable_rate_limit: str | None = None
+    instance: str | None = None
 
 
 class UpstreamDialect(ABC):
--- a/packages/cassiahaven-core/cassiahaven_core/endpoint.py
+++ b/packages/cassiahaven-core/cassiahaven_core/endpoint.py
@@ -58,18 +58,25 @@
         running: Calls in progress from all entries.
         waiting: Calls in the endpoint's own queue.
         slowdown: Current slowdown factor of the endpoint's VM, 1 if normal.
+        is_leaving: Whether the endpoint says that it leaves.
     """
 
     running: int
     waiting: int = 0
     slowdown: float = 1.0
+    is_leaving: bool = False
 
 
 @dataclass(frozen=True, slots=True)
 class ProbeFailed:
-    """Failed or unanswered probe, with the cause."""
+    """Failed or unanswered probe, with the cause.
+
+    Attributes:
+        is_leaving: Whether the endpoint answered that it leaves.
+    """
 
     detail: str
+    is_leaving: bool = False
 
 
 @dataclass(slots=True)
--- a/packages/cassiahaven-core/cassiahaven_core/pool.py
+++ b/packages/cassiahaven-core/cassiahaven_core/pool.py
@@ -14,6 +14,7 @@
 )
 from cassiahaven_core.endpoint_address import DEFAULT_WARM_UP_MS, EndpointAddress
 from cassiahaven_core.endpoint_gate import FULL_SLOT_SHARE, EndpointGate, SlotShare
+from cassiahaven_core.leaving import LeavingEndpoints
 from cassiahaven_core.lifecycle import SERVING, EndpointEvent, EndpointStatus, next_status
 from cassiahaven_core.rate_limit import (
     MS_PER_S,
@@ -50,10 +51,14 @@
     Args:
         share: Part of each endpoint's slots that this entry fills before it queues.
         rng: Source of tie-breaking, so that entries do not all prefer the same endpoint.
+
+    Attributes:
+        leaving: Endpoints that told this entry that they leave.
     """
 
     __slots__ = (
         "endpoint_by_id",
+        "leaving",
         "typical_latency_ms_by_partner",
         "_answers_by_partner",
         "_share",
@@ -68,6 +73,7 @@
 
     def __init__(self, *, share: SlotShare = FULL_SLOT_SHARE, rng: Random | None = None) -> None:
         self.endpoint_by_id: dict[str, Endpoint] = {}
+        self.leaving = LeavingEndpoints()
         self.typical_latency_ms_by_partner: dict[str, float] = {}
         self._answers_by_partner: Counter[str] = Counter()
         self._share = share
@@ -79,9 +85,16 @@
         self._rate_share = RateShare()
         self._delisted_rate_limits: dict[tuple[str, str], RateLimit] = {}
 
-    def set_endpoints(self, addresses: list[EndpointAddress], now_ms: float) -> None:
-        """Replace the endpoint list; a new incarnation starts with fresh state."""
+    def set_endpoints(
+        self, addresses: list[EndpointAddress], now_ms: float
+    ) -> list[EndpointAddress]:
+        """Replace the endpoint list; a new incarnation starts with fresh state.
+
+        Returns:
+            The addresses that are listed anew although this entry knows that they leave.
+        """
         listed = {address.endpoint: address for address in addresses}
+        upheld: list[EndpointAddress] = []
         for name in list(self.endpoint_by_id):
             if name not in listed:
                 self._keep_rate_limit(self.endpoint_by_id.pop(name))
@@ -103,9 +116,16 @@
                 ),
             )
             self._ejected.discard(name)
-            if not address.warm_up_ms:
+            leaving = self.leaving.find(name, address.incarnation)
+            if leaving is not None:
+                upheld.append(address)
+                self.handle(name, EndpointEvent.DRAIN, leaving.source, now_ms)
+            elif not address.warm_up_ms:
                 self.handle(name, EndpointEvent.WARMED, "listed as warm", now_ms)
+        starts = {(address.endpoint, address.incarnation) for address in addresses}
+        self.leaving.keep_listed(starts, now_ms)
         self._index()
+        return upheld
 
     def set_share(self, share: SlotShare) -> None:
         """Set the part of each endpoint's slots that this entry fills."""
@@ -143,6 +163,31 @@
         self._index()
         return True
 
+    def record_leaving(self, name: str, incarnation: str, source: str, now_ms: float) -> bool:
+        """Record that an endpoint said that it leaves.
+
+        Args:
+            name: The endpoint.
+            incarnation: The start of it that said so.
+            source: Kind of answer in which it said so.
+            now_ms: Current time, milliseconds.
+
+        Returns:
+            Whether this is the first answer of that start that says so.
+        """
+        is_first = self.leaving.learn(name, incarnation, source, now_ms)
+        endpoint = self.endpoint_by_id.get(name)
+        if endpoint is not None and endpoint.address.incarnation == incarnation:
+            self.handle(name, EndpointEvent.DRAIN, source, now_ms)
+        return is_first
+
+    def may_send(self, address: EndpointAddress) -> bool:
+        """Return whether a call that was assigned to an endpoint may still be sent to it."""
+        endpoint = self.endpoint_by_id.get(address.endpoint)
+        if endpoint is None or endpoint.address.incarnation != address.incarnation:
+            return False
+        return endpoint.is_serving or endpoint.status is EndpointStatus.TRIAL
+
     def has_serving_endpoint(self) -> bool:
         """Return whether any endpoint accepts new calls."""
         return bool(self._serving)
--- a/packages/cassiahaven-core/cassiahaven_core/service.py
+++ b/packages/cassiahaven-core/cassiahaven_core/service.py
@@ -139,6 +139,25 @@
             return None
         return Dispatch(call.call_id, better.address, now_ms - call.arrived_ms)
 
+    def place_again(
+        self, call: WaitingCall, endpoint: str, tried: frozenset[str], now_ms: float
+    ) -> list[Effect]:
+        """Assign a call anew that was not sent, as its endpoint takes no more calls.
+
+        Args:
+            call: The call, counted at the endpoint but not sent.
+            endpoint: The endpoint that it was assigned to.
+            tried: Endpoints that the call has already been sent to.
+            now_ms: Current time, milliseconds.
+
+        Returns:
+            Effects for this and other calls.
+        """
+        self.pool.finish(endpoint, call.call_id, CallResult.CANCELLED, now_ms)
+        self.admission.finish(call.partner)
+        self.admission.requeue(replace(call, tried=tried))
+        return self.advance(now_ms)
+
     def finish(
         self, call: WaitingCall, endpoint: str, result: CallResult, now_ms: float
     ) -> list[Effect]:
--- a/packages/cassiahaven-entry/cassiahaven_entry/attempts.py
+++ b/packages/cassiahaven-entry/cassiahaven_entry/attempts.py
@@ -34,6 +34,8 @@
 NOTABLE_WAIT_MS = 5.0  # shorter waits are left out of the explanation
 MOST_PROBES_PER_ATTEMPT = 4  # with a quarter of endpoints slow, four slow in a row are rare
 PROBE_TIMEOUT_MS = 50.0  # many round trips between zones; a slower endpoint is passed over
+HEALTH_CHECK = "health check"
+REFUSAL = "refusal"
 REFUSAL_BY_RESULT = {
     CallResult.CONNECT_FAILED: RefusalReason.CONNECT_FAILED,
     CallResult.REFUSED: RefusalReason.UPSTREAM_REFUSED,
@@ -114,6 +116,12 @@
             if effect.waited_ms >= NOTABLE_WAIT_MS:
                 call.note("waited", f"{effect.waited_ms:.1f} ms for a free slot")
             address = self._choose_endpoint(call, task, effect.address, frozenset(tried))
+            if not task.policy.pool.may_send(address):
+                # It was delisted or said that it leaves after the call was assigned to it.
+                call.note("placed again", f"{address.endpoint} takes no more calls")
+                self._metrics.placed_again.labels(call.service).inc()
+                effect = task.place_again(call.waiting, address.endpoint, frozenset(tried))
+                continue
             tried.add(address.endpoint)
             ended = self._attempt(call, task, address, frozenset(tried))
             result = self._record_result(progress, ended)
@@ -152,6 +160,8 @@
             except BaseException:
                 task.finish(call.waiting, address.endpoint, CallResult.CANCELLED)
                 raise
+            if report.is_leaving:
+                self._record_leaving(task, address, HEALTH_CHECK)
             better = task.apply_probe(call.waiting, address.endpoint, report, tried)
             if better is None:
                 break
@@ -202,7 +212,7 @@
     def _receive(
         self, call: Call, task: ServiceTask, address: EndpointAddress, sent: SendResult
     ) -> Finished | SendFailed:
-        self._apply_signal(call, task, address, sent.signal)
+        self._apply_signal(call, task, address, sent.signal, _kind(sent))
         if isinstance(sent, SendFailed):
             return sent
         parts: list[bytes] = []
@@ -263,18 +273,27 @@
         self._memory.release(reserved)
 
     def _apply_signal(
-        self, call: Call, task: ServiceTask, address: EndpointAddress, signal: ResponseSignals
+        self,
+        call: Call,
+        task: ServiceTask,
+        address: EndpointAddress,
+        signal: ResponseSignals,
+        kind: str,
     ) -> None:
         if not signal.is_misdirected:
             self._apply_rate_limit(call, task, address, signal)
         if signal.load is not None:
             task.policy.pool.report_load(address.endpoint, signal.load, now_ms())
-        if signal.draining:
-            self._on_drain(
-                DrainNotice(
-                    task.service, address.endpoint, address.incarnation, "upstream's answer"
-                )
-            )
+        # What another endpoint at this address says holds for that one only.
+        is_own = not signal.is_misdirected or signal.instance == address.endpoint
+        if signal.draining and is_own:
+            self._record_leaving(task, address, kind, call.call_id)
+
+    def _record_leaving(
+        self, task: ServiceTask, address: EndpointAddress, source: str, call_id: str | None = None
+    ) -> None:
+        task.record_leaving(address, source, call_id)
+        self._on_drain(DrainNotice(task.service, address.endpoint, address.incarnation, source))
 
     def _apply_rate_limit(
         self, call: Call, task: ServiceTask, address: EndpointAddress, signal: ResponseSignals
@@ -326,6 +345,12 @@
     return f"slowed {report.slowdown:.1f} times"
 
 
+def _kind(sent: SendResult) -> str:
+    if isinstance(sent, SendFailed):
+        return REFUSAL if sent.result is CallResult.REFUSED else "discarded answer"
+    return "failure" if sent.status in SERVER_ERROR_STATUSES else "answer"
+
+
 def _is_server_error(finished: Finished) -> bool:
     return finished.answer is not None and finished.answer.status in SERVER_ERROR_STATUSES
 
--- a/packages/cassiahaven-entry/cassiahaven_entry/http_transport.py
+++ b/packages/cassiahaven-entry/cassiahaven_entry/http_transport.py
@@ -19,6 +19,7 @@
 
 from cassiahaven_core.answer_record import AnswerRecord, Framing
 from cassiahaven_core.edge import (
+    ResponseSignals,
     SendFailed,
     SendResult,
     TransferBroken,
@@ -246,7 +247,12 @@
                     answer=record.to_plain(),
                 )
             detail = "answer belongs to another call"
-            return SendFailed(CallResult.CONNECTION_LOST, detail, record=record)
+            told = ResponseSignals(
+                draining=signal.draining,
+                is_misdirected=signal.is_misdirected,
+                instance=signal.instance,
+            )
+            return SendFailed(CallResult.CONNECTION_LOST, detail, told, record)
         if signal.not_run:
             _discard(response)
             result = CallResult.REPLACED if signal.is_misdirected else CallResult.REFUSED
--- a/packages/cassiahaven-entry/cassiahaven_entry/metrics.py
+++ b/packages/cassiahaven-entry/cassiahaven_entry/metrics.py
@@ -77,6 +77,12 @@
         self.kept_endpoints = self._gauge(
             "kept_endpoints", "Endpoints in use though their registration is gone"
         )
+        self.leaving_endpoints = self._gauge(
+            "leaving_endpoints", "Starts of endpoints that said in an answer that they leave"
+        )
+        self.placed_again = self._counter(
+            "placed_again", "Calls not sent, as their endpoint took no more calls", "service"
+        )
         self.calls_to_rate_limited = self._counter(
             "calls_to_rate_limited", "Calls sent to endpoints that name a rate limit", "service"
         )
--- a/packages/cassiahaven-entry/cassiahaven_entry/routed_node.py
+++ b/packages/cassiahaven-entry/cassiahaven_entry/routed_node.py
@@ -13,7 +13,6 @@
 from cassiahaven_core.membership import Fleet, Member
 from cassiahaven_core.peer_message import (
     CrashNotice,
-    DrainNotice,
     RateLimitNotice,
     TableRows,
     WatcherReport,
@@ -25,7 +24,7 @@
 from cassiahaven_core.routed_settings import RoutedSettings, SocketAddress
 from cassiahaven_core.table import ServiceTable
 from cassiahaven_entry.adapter import PlatformAdapter
-from cassiahaven_entry.attempts import PROBE_TIMEOUT_MS, AttemptRunner
+from cassiahaven_entry.attempts import HEALTH_CHECK, PROBE_TIMEOUT_MS, AttemptRunner
 from cassiahaven_entry.auxiliary_server import AuxiliaryServer
 from cassiahaven_entry.caller_dialect import Environ
 from cassiahaven_entry.clock import MS_PER_S, now_ms
@@ -119,6 +118,12 @@
                 task.policy.pool.rate_limited_endpoints() for task in self._task_by_service.values()
             )
         )
+        self.metrics.leaving_endpoints.set_function(
+            lambda: sum(
+                len(task.policy.pool.leaving.leaving_by_start)
+                for task in self._task_by_service.values()
+            )
+        )
         self.metrics.kept_endpoints.set_function(lambda: len(self.view.registry.kept_endpoints))
         state = LinkCallbacks(
             report=self._report,
@@ -154,7 +159,7 @@
             dialect,
             self.quarantine,
             metrics=self.metrics,
-            on_drain=self._on_drain,
+            on_drain=lambda notice: None,  # each entry learns it from its own answers
             on_crash=self._on_suspected_crash,
             on_rate_limit=self.links.publish_rate_limit,
         )
@@ -365,11 +370,6 @@
             window_ms=self.settings.retry_window_ms,
         )
 
-    def _on_drain(self, notice: DrainNotice) -> None:
-        task = self._task_by_service.get(notice.service)
-        if task is not None:
-            task.drain(notice.endpoint, notice.incarnation, notice.reason)
-
     def _on_suspected_crash(self, notice: CrashNotice) -> None:
         # Responses are lost frequently at times, so publish only confirmed crashes.
         if not notice.is_retracted:
@@ -466,6 +466,8 @@
     def _try_endpoint(self, task: ServiceTask, address: EndpointAddress) -> None:
         self.metrics.probes.labels(task.service).inc()
         report = self.transport.probe(address, task.health_path, PROBE_TIMEOUT_MS)
+        if report.is_leaving:
+            task.record_leaving(address, HEALTH_CHECK)
         task.finish_probe_trial(address.endpoint, report)
 
 
--- a/packages/cassiahaven-entry/cassiahaven_entry/service_task.py
+++ b/packages/cassiahaven-entry/cassiahaven_entry/service_task.py
@@ -93,7 +93,8 @@
             addresses: All endpoints of the service.
             draining: Names of the endpoints that are draining.
         """
-        self.policy.pool.set_endpoints(addresses, now_ms())
+        for address in self.policy.pool.set_endpoints(addresses, now_ms()):
+            self._log_upheld(address)
         for name in draining:
             self.handle(name, EndpointEvent.DRAIN, "registration")
         self._apply_operator_drains()
@@ -133,6 +134,39 @@
             return False
         return self.handle(endpoint, EndpointEvent.DRAIN, reason)
 
+    def record_leaving(
+        self, address: EndpointAddress, source: str, call_id: str | None = None
+    ) -> bool:
+        """Record that an endpoint said that it leaves; return whether that is news.
+
+        Args:
+            address: The endpoint and the start of it that said so.
+            source: Kind of answer in which it said so.
+            call_id: The call that was answered, ``None`` for a probe.
+        """
+        before = self._status_of(address.endpoint)
+        is_first = self.policy.pool.record_leaving(
+            address.endpoint, address.incarnation, source, now_ms()
+        )
+        if is_first:
+            log(
+                LogEvent.ENDPOINT_LEAVING,
+                service=self.service,
+                endpoint=address.endpoint,
+                incarnation=address.incarnation,
+                source=source,
+                call=call_id,
+            )
+        self._log_status(address.endpoint, before)
+        return is_first
+
+    def place_again(self, call: WaitingCall, endpoint: str, tried: frozenset[str]) -> Effect:
+        """Wait until a call that was assigned to an endpoint, but not sent, may be sent again."""
+        before = self._status_of(endpoint)
+        effects = self.policy.place_again(call, endpoint, tried, now_ms())
+        self._log_status(endpoint, before)
+        return self._wait(call, effects)
+
     def handle(self, endpoint: str, event: EndpointEvent, reason: str) -> bool:
         """Apply a lifecycle event and return whether it changed the endpoint's status."""
         before = self._status_of(endpoint)
@@ -265,6 +299,18 @@
             if event is not None:
                 event.send(effect)
 
+    def _log_upheld(self, address: EndpointAddress) -> None:
+        leaving = self.policy.pool.leaving.find(address.endpoint, address.incarnation)
+        if leaving is not None:
+            log(
+                LogEvent.ENDPOINT_LEAVING_UPHELD,
+                service=self.service,
+                endpoint=address.endpoint,
+                incarnation=address.incarnation,
+                source=leaving.source,
+                age_ms=round(now_ms() - leaving.learned_ms),
+            )
+
     def _status_of(self, endpoint: str) -> str | None:
         known = self.policy.pool.endpoint_by_id.get(endpoint)
         return known.status.value if known is not None else None
--- a/packages/cassiahaven-entry/tests/test_attempts.py
+++ b/packages/cassiahaven-entry/tests/test_attempts.py
@@ -17,7 +17,7 @@
     UpstreamAnswer,
     UpstreamTransport,
 )
-from cassiahaven_core.endpoint import CallResult
+from cassiahaven_core.endpoint import CallResult, LoadReport, ProbeFailed
 from cassiahaven_core.endpoint_address import EndpointAddress
 from cassiahaven_core.outcome import NotRun, Ran, Unknown
 from cassiahaven_core.quarantine import Quarantine
@@ -88,8 +88,11 @@
 
 @pytest.fixture
 def run_call(clock):
-    def run(transport, method, *, is_streamed=False):
+    def run(transport, method, *, is_streamed=False, probes_per_s=0.0):
         task = ServiceTask("lookup", "zone-a")
+        task.health_path = "/health"
+        task.policy.probes_per_s = probes_per_s
+        run.tasks.append(task)
         task.set_endpoints(
             [EndpointAddress(f"e{number}", "1", "zone-a", "127.0.0.1", 1, 3) for number in range(4)]
         )
@@ -112,6 +115,7 @@
         return finished
 
     run.runners = []
+    run.tasks = []
     return run
 
 
@@ -213,3 +217,85 @@
     ends = [large(CountedBody(8, breaks=True)) for _ in range(4)]
     run_call(ScriptedTransport(ends), "GET")
     assert run_call.runners[-1]._memory.held_bytes == 0
+
+
+class ProbedTransport(UpstreamTransport):
+    """Answer calls and probes, and record the endpoints that calls were sent to.
+
+    Args:
+        answer_probe: Returns the answer to a probe of an endpoint.
+    """
+
+    def __init__(self, answer_probe):
+        self.answer_probe = answer_probe
+        self.sent = []
+        self.probed = []
+
+    def send(self, address, request, timeout_ms, *, patience_ms=None):
+        self.sent.append(address.endpoint)
+        return answer(200)
+
+    def probe(self, address, path, timeout_ms):
+        self.probed.append(address.endpoint)
+        return self.answer_probe(address)
+
+
+def leaving_starts(run_call):
+    return set(run_call.tasks[-1].policy.pool.leaving.leaving_by_start)
+
+
+@pytest.mark.parametrize("method", ["GET", "POST"])
+@pytest.mark.parametrize(
+    "report", [LoadReport(0, is_leaving=True), ProbeFailed("status 503", is_leaving=True)]
+)
+def test_call_is_sent_to_the_endpoint_whose_health_check_said_that_it_leaves(
+    run_call, method, report
+):
+    transport = ProbedTransport(
+        lambda address: report if len(transport.probed) == 1 else LoadReport(0)
+    )
+    finished = run_call(transport, method, probes_per_s=1000.0)
+    assert finished.outcome.status == 200
+    assert transport.probed[0] not in transport.sent
+    assert leaving_starts(run_call) == {(transport.probed[0], "1")}
+
+
+def test_call_is_sent_to_an_endpoint_that_said_during_its_probe_that_it_leaves(run_call):
+    # Another call's answer arrives while this one waits for its probe.
+    def answer_probe(address):
+        if len(transport.probed) == 1:
+            run_call.tasks[-1].record_leaving(address, "answer")
+        return LoadReport(0)
+
+    transport = ProbedTransport(answer_probe)
+    finished = run_call(transport, "POST", probes_per_s=1000.0)
+    assert finished.outcome.status == 200
+    assert transport.probed[0] not in transport.sent
+
+
+@pytest.mark.parametrize(
+    ("result", "is_misdirected", "instance", "count"),
+    [
+        (CallResult.REFUSED, False, None, 1),
+        (CallResult.CONNECTION_LOST, False, None, 1),
+        (CallResult.REPLACED, True, "e9", 0),
+        (CallResult.REPLACED, True, None, 0),
+    ],
+)
+def test_failed_attempt_tells_who_leaves(run_call, result, is_misdirected, instance, count):
+    signal = ResponseSignals(draining=True, is_misdirected=is_misdirected, instance=instance)
+    failed = Ending("failed", False, lambda: SendFailed(result, "", signal))
+    run_call(ScriptedTransport([failed, ENDINGS[0]]), "GET")
+    assert len(leaving_starts(run_call)) == count
+
+
+def test_streamed_answer_tells_that_its_endpoint_leaves_before_its_end(run_call):
+    def streamed():
+        signal = ResponseSignals(draining=True)
+        return UpstreamAnswer(200, (), iter(CountedBody(40)), lambda: None, signal)
+
+    finished = run_call(
+        ScriptedTransport([Ending("large", True, streamed)]), "GET", is_streamed=True
+    )
+    assert len(leaving_starts(run_call)) == 1
+    finished.stream.close()
--- a/packages/cassiahaven-standins/cassiahaven_standins/platform_endpoint.py
+++ b/packages/cassiahaven-standins/cassiahaven_standins/platform_endpoint.py
@@ -52,6 +52,9 @@
             ``name_rate_limit``.
         rate_limits: Time and value of each rate limit that it named, empty for its end.
         limited_responses: Time and request id of each response that named a rate limit.
+        is_leaving: Whether its responses say that it leaves.
+        leaving_responses: Time and request id of each response that said so, an empty id for a
+            health check.
         received_requests: Ids of the requests received, including rejected ones.
         arrivals: Time and id of each of them.
         ran: Id, start time and path of each request that was run.
@@ -70,6 +73,8 @@
         self.rate_limit = ""
         self.rate_limits: list[tuple[float, str]] = []
         self.limited_responses: list[tuple[float, str]] = []
+        self.is_leaving = False
+        self.leaving_responses: list[tuple[float, str]] = []
         self.received_requests: list[str] = []
         self.arrivals: list[tuple[float, str]] = []
         self.ran: list[tuple[str, float, str]] = []
@@ -181,7 +186,7 @@
 
     def _send_cut(self, body: bytes, headers: dict[str, str]) -> None:
         rng = self.state.random
-        headers = headers | self._rate_limit_headers()
+        headers = headers | self._notices()
         answer = rng.choice(list(FRAMING_BY_NAME.values())).encode("200 OK", headers, body)
         # Half of the cuts are near the start, so that they often hit the head of long answers too.
         end = rng.choice([len(answer.data), min(len(answer.data), 2 * answer.head_size)])
@@ -198,19 +203,23 @@
             return
 
     def _send_twice(self, body: bytes, headers: dict[str, str]) -> None:
-        limited = headers | self._rate_limit_headers()
+        limited = headers | self._notices()
         answer = LengthFraming().encode("200 OK", limited, body)
         self._write(answer.data)
-        self._record_rate_limit(limited)
+        self._record_notices(limited)
         delay_s = self.state.random.uniform(*SECOND_ANSWER_DELAY_S)
         second = threading.Timer(delay_s, self._write, (answer.data,))
         second.daemon = True
         second.start()
 
-    def _rate_limit_headers(self) -> dict[str, str]:
-        return {"Server-Limit": self.state.rate_limit} if self.state.rate_limit else {}
+    def _notices(self) -> dict[str, str]:
+        notices = {"Server-Limit": self.state.rate_limit} if self.state.rate_limit else {}
+        return notices | ({"Server-Leaving": "1"} if self.state.is_leaving else {})
 
-    def _record_rate_limit(self, headers: dict[str, str]) -> None:
+    def _record_notices(self, headers: dict[str, str]) -> None:
+        if "Server-Leaving" in headers:
+            request = self.headers.get("Request-Id", "")
+            self.state.leaving_responses.append((time.monotonic(), request))
         if "Server-Limit" in headers and "Request-Id" in headers:
             self.state.limited_responses.append((time.monotonic(), headers["Request-Id"]))
 
@@ -233,12 +242,12 @@
     def _send_locked(
         self, status: int, body: bytes, headers: dict[str, str], *, length: int
     ) -> None:
-        headers = headers | self._rate_limit_headers()
+        headers = headers | self._notices()
         try:
             self.send_response(status)
             for name, value in headers.items():
                 self.send_header(name, value)
-            self._record_rate_limit(headers)
+            self._record_notices(headers)
             self.send_header("Content-Length", str(length))
             self.end_headers()
             self.wfile.write(body)
--- a/tests/test_platform_translation.py
+++ b/tests/test_platform_translation.py
@@ -354,7 +354,7 @@
 
 
 WIRE_NAMES = re.compile(
-    r"Target-Instance|Not-Executed|Response-Signature|Deadline-Ms|Server-Load|pathPrefix"
+    r"Target-Instance|Not-Executed|Response-Signature|Deadline-Ms|Server-Load|Server-Leaving|pathPrefix"
     r"|trafficSplit|targetLatency|maxAttempts|coldRemaining|storeRevision|staleOk|waitMs"
     r"|healthPath|maxConnections|budgetRatio|internalPorts|/cassiahaven/",
     re.IGNORECASE,
@@ -404,3 +404,34 @@
 )
 def test_only_a_success_without_a_rate_limit_ends_it(status, headers, rate_per_s):
     assert head(status, **headers).rate_limit_per_s == rate_per_s
+
+
+@pytest.mark.parametrize(
+    ("status", "headers"),
+    [
+        (200, {"Response_Signature": "s"}),
+        (500, {}),
+        (503, {"Not_Executed": "1"}),
+        (429, {"Not_Executed": "1"}),
+        (421, {"Instance_Id": "i-1"}),
+        (503, {}),  # not proven to be the endpoint's own refusal, yet it says what it says
+    ],
+)
+def test_answer_of_any_kind_tells_that_its_endpoint_leaves(status, headers):
+    assert head(status, Server_Leaving="1", **headers).draining
+    assert not head(status, **headers).draining
+    assert not head(status, Server_Leaving="0", **headers).draining
+
+
+def test_answer_of_another_endpoint_names_it():
+    assert head(421, Instance_Id="i-9", Server_Leaving="1").instance == "i-9"
+
+
+def test_health_check_tells_that_its_endpoint_leaves():
+    dialect = PlatformUpstreams()
+    leaving = {"server-leaving": "1", "instance-id": "i-1"}
+    assert dialect.read_health(200, leaving, "i-1").is_leaving
+    assert dialect.read_health(503, leaving, "i-1").is_leaving
+    assert not dialect.read_health(200, {"instance-id": "i-1"}, "i-1").is_leaving
+    # Another endpoint answers at this address.
+    assert not dialect.read_health(503, leaving, "i-2").is_leaving
