Keep the time for which an endpoint that turned a call away wants none

An endpoint may add Retry-After to a 503. The entry ignored it, so endpoints went on getting callers' requests, retries and probes while they wanted none, and where all of a service wanted none, callers were refused one by one after an attempt, with a Retry-After that was too early.

A 503 with a readable time now closes the endpoint for this entry: for calls, retries, probes before calls and trials, and for calls that are assigned to it and not sent yet. Where every endpoint in use is closed, callers are refused at once (upstream-closed) with the first end as Retry-After. Refusals of a closed endpoint do not eject it beyond its time. Values that cannot be read are ignored and counted.

The core's tests replay loads with interfaces that are new here. The callers of the tests on real entries move to the stand-ins, so that two files use them.

--- a/packages/cassiahaven-core/cassiahaven_core/edge.py
+++ b/packages/cassiahaven-core/cassiahaven_core/edge.py
@@ -218,6 +218,8 @@
             if it names no limit, ``None`` if the response does not tell.
         unreadable_rate_limit: Text of a rate limit that cannot be read, ``None`` otherwise.
         instance: Name of the endpoint that answered, ``None`` if the response does not tell.
+        closed_for_ms: Time for which it wants no requests, ``None`` if it does not say.
+        unreadable_closure: Text of such a time that cannot be read, ``None`` otherwise.
     """
 
     load: LoadReport | None = None
@@ -229,6 +231,8 @@
     rate_limit_per_s: float | None = None
     unreadable_rate_limit: str | None = None
     instance: str | None = None
+    closed_for_ms: float | None = None
+    unreadable_closure: str | None = None
 
 
 class UpstreamDialect(ABC):
--- a/packages/cassiahaven-core/cassiahaven_core/endpoint.py
+++ b/packages/cassiahaven-core/cassiahaven_core/endpoint.py
@@ -73,10 +73,14 @@
 
     Attributes:
         is_leaving: Whether the endpoint answered that it leaves.
+        closed_for_ms: Time for which it wants no requests, ``None`` if it does not say.
+        unreadable_closure: Text of such a time that cannot be read, ``None`` otherwise.
     """
 
     detail: str
     is_leaving: bool = False
+    closed_for_ms: float | None = None
+    unreadable_closure: str | None = None
 
 
 @dataclass(slots=True)
@@ -146,6 +150,10 @@
         """Return whether the endpoint accepts new calls."""
         return self.status in SERVING
 
+    def started_ms(self) -> list[float]:
+        """Return the start times of this entry's calls at the endpoint."""
+        return [started.at_ms for started in self.in_flight_by_call_id.values()]
+
     def cost(self, typical_slowdown: float, now_ms: float) -> float:
         """Return the cost of a call at the endpoint, relative to an idle endpoint (1).
 
--- a/packages/cassiahaven-core/cassiahaven_core/endpoint_gate.py
+++ b/packages/cassiahaven-core/cassiahaven_core/endpoint_gate.py
@@ -1,4 +1,4 @@
-"""What one endpoint admits from this entry: its slots, and the rate limit that it names."""
+"""What one endpoint admits from this entry: its slots, its rate limit, and when it is closed."""
 
 import math
 from collections import deque
@@ -6,6 +6,7 @@
 from dataclasses import dataclass, field
 from zlib import crc32
 
+from cassiahaven_core.closure import Closure
 from cassiahaven_core.endpoint_address import EndpointAddress
 from cassiahaven_core.rate_limit import (
     NOTICE_GUARD_MS,
@@ -51,7 +52,7 @@
 
 @dataclass(slots=True)
 class EndpointGate:
-    """Slots and rate limit of one endpoint, as far as this entry may use them.
+    """Slots, rate limit and closure of one endpoint, as far as they concern this entry.
 
     Attributes:
         limit: In-flight limit of this entry at the endpoint.
@@ -60,6 +61,8 @@
         sent_ms: When this entry sent each of its calls within ``WINDOW_MS``.
         rate_limit_changed_ms: When this entry last learned of another rate limit.
         unreadable_rate_limit: Text of its last rate limit if that cannot be read, else ``None``.
+        closure: Time for which it wants no requests, ``None`` once it takes its usual load again.
+        unreadable_closure: Text of the last such time that cannot be read, ``None`` for none.
     """
 
     limit: int = 0
@@ -68,6 +71,8 @@
     sent_ms: deque[float] = field(default_factory=deque)
     rate_limit_changed_ms: float = float("-inf")
     unreadable_rate_limit: str | None = None
+    closure: Closure | None = None
+    unreadable_closure: str | None = None
 
     @property
     def rate_limit_per_s(self) -> float:
@@ -75,10 +80,27 @@
         return self.rate_limit.limit_per_s if self.rate_limit is not None else UNLIMITED
 
     def opens_in_ms(self, now_ms: float) -> float:
-        """Return the time until the rate limit lets a call through, 0 without a limit."""
+        """Return the time until rate limit and closure let a call through, 0 without them."""
+        closed_for_ms = self.closed_for_ms(now_ms)
         if self.rate_limit is None:
-            return 0.0
-        return self.rate_limit.opens_in_ms(self.sent_ms, now_ms)
+            return closed_for_ms
+        return max(closed_for_ms, self.rate_limit.opens_in_ms(self.sent_ms, now_ms))
+
+    def closed_for_ms(self, now_ms: float) -> float:
+        """Return the time until the closure ends, 0 without one."""
+        return self.closure.left_ms(now_ms) if self.closure is not None else 0.0
+
+    def close_for(self, asked_ms: float, now_ms: float) -> None:
+        """Apply that the endpoint wants no requests for a time, in place of an earlier one."""
+        self.closure = Closure(asked_ms, now_ms)
+        self.unreadable_closure = None
+
+    def record_success(self, started_ms: float) -> None:
+        """Record a call that succeeded, which opens a closed endpoint step by step."""
+        if self.closure is not None:
+            self.closure.record_success(started_ms)
+            if self.closure.room > self.limit:
+                self.closure = None
 
     def count_sent(self, now_ms: float) -> None:
         """Record a call that is about to be sent."""
--- a/packages/cassiahaven-core/cassiahaven_core/pool.py
+++ b/packages/cassiahaven-core/cassiahaven_core/pool.py
@@ -20,7 +20,6 @@
     MS_PER_S,
     NOTICE_LIFETIME_MS,
     UNLIMITED,
-    RateLimit,
     RateShare,
 )
 from cassiahaven_core.slot_limit import NEARLY_FULL_SHARE, AdaptiveSlotLimit
@@ -42,7 +41,7 @@
 MAX_WORK_RATIO = 6.0  # above the factor by which noisy neighbours slow a VM
 MIN_ANSWERS = 100  # the typical latency of a partner has settled by then
 ROOM_RECOVERY_CALLS = 10  # answers after which an endpoint is believed to take one more call
-MAX_DELISTED_RATE_LIMITS = 100
+MAX_DELISTED_GATES = 100
 
 
 class Pool:
@@ -68,7 +67,7 @@
         "_typical_slowdown",
         "_slot_limit",
         "_rate_share",
-        "_delisted_rate_limits",
+        "_delisted_gates",
     )
 
     def __init__(self, *, share: SlotShare = FULL_SLOT_SHARE, rng: Random | None = None) -> None:
@@ -83,7 +82,7 @@
         self._typical_slowdown = 1.0
         self._slot_limit = AdaptiveSlotLimit()
         self._rate_share = RateShare()
-        self._delisted_rate_limits: dict[tuple[str, str], RateLimit] = {}
+        self._delisted_gates: dict[tuple[str, str], EndpointGate] = {}
 
     def set_endpoints(
         self, addresses: list[EndpointAddress], now_ms: float
@@ -97,7 +96,7 @@
         upheld: list[EndpointAddress] = []
         for name in list(self.endpoint_by_id):
             if name not in listed:
-                self._keep_rate_limit(self.endpoint_by_id.pop(name))
+                self._keep_gate(self.endpoint_by_id.pop(name))
                 self._ejected.discard(name)
         for name, address in listed.items():
             known = self.endpoint_by_id.get(name)
@@ -111,9 +110,7 @@
                 address,
                 since_ms=now_ms,
                 warm_up_ends_ms=warm_up_ends_ms,
-                gate=EndpointGate(
-                    rate_limit=self._delisted_rate_limits.pop((name, address.incarnation), None)
-                ),
+                gate=self._delisted_gates.pop((name, address.incarnation), None) or EndpointGate(),
             )
             self._ejected.discard(name)
             leaving = self.leaving.find(name, address.incarnation)
@@ -181,11 +178,13 @@
             self.handle(name, EndpointEvent.DRAIN, source, now_ms)
         return is_first
 
-    def may_send(self, address: EndpointAddress) -> bool:
+    def may_send(self, address: EndpointAddress, now_ms: float) -> bool:
         """Return whether a call that was assigned to an endpoint may still be sent to it."""
         endpoint = self.endpoint_by_id.get(address.endpoint)
         if endpoint is None or endpoint.address.incarnation != address.incarnation:
             return False
+        if endpoint.gate.closed_for_ms(now_ms):
+            return False
         return endpoint.is_serving or endpoint.status is EndpointStatus.TRIAL
 
     def has_serving_endpoint(self) -> bool:
@@ -193,7 +192,7 @@
         return bool(self._serving)
 
     def opens_in_ms(self, now_ms: float, tried: frozenset[str] = frozenset()) -> float:
-        """Return the time until the rate limit of some endpoint lets a call through.
+        """Return the time until rate limit and closure of some endpoint let a call through.
 
         Args:
             now_ms: Current time, milliseconds.
@@ -207,24 +206,70 @@
         for endpoint in self._serving:
             if endpoint.address.endpoint in tried:
                 continue
-            if endpoint.gate.rate_limit is None:
+            if endpoint.gate.rate_limit is None and endpoint.gate.closure is None:
                 return 0.0
             soonest = min(soonest, endpoint.gate.opens_in_ms(now_ms))
         return soonest
 
+    def closed_for_ms(self, now_ms: float, tried: frozenset[str] = frozenset()) -> float:
+        """Return the time until the first of the endpoints opens, if all have closed themselves.
+
+        Args:
+            now_ms: Current time, milliseconds.
+            tried: Endpoints that the call has already been sent to, which are left out.
+
+        Returns:
+            Milliseconds, 0 if some endpoint is not closed or none accepts new calls.
+        """
+        closed_ms = [
+            endpoint.gate.closed_for_ms(now_ms)
+            for endpoint in self._serving
+            if endpoint.address.endpoint not in tried
+        ]
+        return min(closed_ms, default=0.0)
+
+    def closed_endpoints(self, now_ms: float) -> int:
+        """Return the number of endpoints that have closed themselves."""
+        return sum(item.gate.closed_for_ms(now_ms) > 0 for item in self.endpoint_by_id.values())
+
+    def close_endpoint(
+        self, name: str, incarnation: str, asked_ms: float, now_ms: float
+    ) -> float | None:
+        """Apply that an endpoint wants no requests from this entry for a time.
+
+        Args:
+            name: The endpoint.
+            incarnation: The start of it that said so.
+            asked_ms: The time that it asked for, from now on; replaces what it asked for before.
+            now_ms: Current time, milliseconds.
+
+        Returns:
+            The time that was left of an earlier closure, ``None`` if this start is not listed.
+        """
+        endpoint = self.endpoint_by_id.get(name)
+        if endpoint is None or endpoint.address.incarnation != incarnation:
+            return None
+        left_ms = endpoint.gate.closed_for_ms(now_ms)
+        endpoint.gate.close_for(asked_ms, now_ms)
+        return left_ms
+
     def serving_slots(self) -> int:
         """Return the total slots of all serving endpoints."""
         return sum(endpoint.address.slots for endpoint in self._serving)
 
-    def usable_slots(self, latency_ms: float) -> float:
+    def usable_slots(self, latency_ms: float, now_ms: float) -> float:
         """Return how many calls this entry may have in flight at all serving endpoints.
 
         Args:
             latency_ms: Time that a call takes, which decides how many calls in flight a rate is.
+            now_ms: Current time, milliseconds.
         """
         slots = 0.0
         for endpoint in self._serving:
             limit = float(self._slot_limit.limit(endpoint.gate.limit))
+            if endpoint.gate.closure is not None:
+                is_closed = endpoint.gate.closed_for_ms(now_ms) > 0
+                limit = 0.0 if is_closed else min(limit, endpoint.gate.closure.room)
             if endpoint.gate.rate_limit is not None:
                 limit = min(limit, endpoint.gate.rate_limit.rate_per_s * latency_ms / MS_PER_S)
             slots += limit
@@ -268,10 +313,13 @@
         best: Endpoint | None = None
         best_cost = float("inf")
         for endpoint in self._serving:
-            limit = min(self._slot_limit.limit(endpoint.gate.limit), endpoint.gate.room)
+            gate = endpoint.gate
+            limit = min(self._slot_limit.limit(gate.limit), gate.room)
             if len(endpoint.in_flight_by_call_id) >= limit:
                 continue
-            if endpoint.gate.rate_limit is not None and endpoint.gate.opens_in_ms(now_ms) > 0:
+            if gate.closure is not None and not gate.closure.admits(endpoint.started_ms(), now_ms):
+                continue
+            if gate.rate_limit is not None and gate.opens_in_ms(now_ms) > 0:
                 continue
             if excluded and endpoint.address.endpoint in excluded:
                 continue
@@ -340,6 +388,10 @@
             endpoint.gate.room = max(1.0, min(endpoint.gate.room, float(endpoint.in_flight)))
         if result is CallResult.OK:
             self._record_success(endpoint, started, now_ms)
+        elif result is CallResult.REFUSED and endpoint.gate.closed_for_ms(now_ms):
+            # The endpoint said how long it wants no calls, which tells more than an ejection.
+            if endpoint.status is EndpointStatus.TRIAL:
+                self.handle(name, EndpointEvent.FAILING, "closed itself", now_ms)
         elif result in FAILED_RESULTS:
             self._record_failure(endpoint, result, now_ms)
         elif endpoint.status is EndpointStatus.TRIAL:
@@ -429,8 +481,8 @@
         endpoint = self.endpoint_by_id.get(name)
         if endpoint is None or now_ms - endpoint.reported_at_ms < FRESH_REPORT_MS:
             return False
-        if endpoint.gate.rate_limit is not None:
-            # A probe is a request too, and the endpoint asks for fewer.
+        if endpoint.gate.rate_limit is not None or endpoint.gate.closed_for_ms(now_ms):
+            # A probe is a request too, and the endpoint asks for fewer or none.
             return False
         earned = (now_ms - endpoint.probe_refilled_ms) / MS_PER_S * rate_per_s
         endpoint.probe_refilled_ms = now_ms
@@ -479,6 +531,7 @@
         )
         self._answers_by_partner[started.partner] += 1
         endpoint.gate.room += 1 / ROOM_RECOVERY_CALLS
+        endpoint.gate.record_success(started.at_ms)
         ratio = min(MAX_SLOWNESS, took_ms / typical_latency_ms)
         taken = len(endpoint.in_flight_by_call_id) + 1 + endpoint.decayed_others_in_flight(now_ms)
         is_nearly_full = taken > endpoint.address.slots * NEARLY_FULL_SHARE
@@ -543,13 +596,16 @@
         # Varies, so that a fleet whose notices stopped does not send to the endpoint at once.
         return now_ms + NOTICE_LIFETIME_MS * (1 + self._rng.random())
 
-    def _keep_rate_limit(self, endpoint: Endpoint) -> None:
-        """Keep the limit of an endpoint whose registration may come back."""
-        if endpoint.gate.rate_limit is None:
+    def _keep_gate(self, endpoint: Endpoint) -> None:
+        """Keep the limit and closure of an endpoint whose registration may come back."""
+        gate = endpoint.gate
+        if gate.rate_limit is None and gate.closure is None:
             return
-        kept = self._delisted_rate_limits
-        kept[endpoint.address.endpoint, endpoint.address.incarnation] = endpoint.gate.rate_limit
-        if len(kept) > MAX_DELISTED_RATE_LIMITS:
+        kept = self._delisted_gates
+        kept[endpoint.address.endpoint, endpoint.address.incarnation] = EndpointGate(
+            rate_limit=gate.rate_limit, closure=gate.closure
+        )
+        if len(kept) > MAX_DELISTED_GATES:
             del kept[next(iter(kept))]
 
     def _index(self) -> None:
--- a/packages/cassiahaven-core/cassiahaven_core/reason.py
+++ b/packages/cassiahaven-core/cassiahaven_core/reason.py
@@ -22,6 +22,7 @@
     NO_UPSTREAM = "no-upstream"
     UPSTREAM_REFUSED = "upstream-refused"
     UPSTREAM_RATE_LIMITED = "upstream-rate-limited"
+    UPSTREAM_CLOSED = "upstream-closed"
     CONNECT_FAILED = "connect-failed"
     KEY_REUSED = "key-reused"
     KEY_MEMORY_FULL = "key-memory-full"
--- a/packages/cassiahaven-core/cassiahaven_core/service.py
+++ b/packages/cassiahaven-core/cassiahaven_core/service.py
@@ -88,10 +88,12 @@
         if not self._may_serve(call, now_ms):
             return [Refuse(call.call_id, RefusalReason.NO_UPSTREAM)]
         opens_in_ms = self._opens_in_ms(call, now_ms)
+        if opens_in_ms and self.pool.closed_for_ms(now_ms):
+            return [Refuse(call.call_id, RefusalReason.UPSTREAM_CLOSED)]
         if self.admission.waiting or opens_in_ms:
             # Late calls queue behind calls that can still be on time, so under overload this one
             # would only wait for its deadline. Refuse it now so that the caller can retry later.
-            starts_ms = now_ms + opens_in_ms + self._expected_wait_ms(call)
+            starts_ms = now_ms + opens_in_ms + self._expected_wait_ms(call, now_ms)
             if starts_ms > min(call.start_by_ms, call.deadline_ms):
                 return [Refuse(call.call_id, self._wait_reason())]
         reason = self.admission.admit(call, now_ms)
@@ -233,6 +235,10 @@
                 continue
             endpoint = self.pool.choose(now_ms, idempotent=call.idempotent, excluded=call.tried)
             if endpoint is None:
+                if self.pool.closed_for_ms(now_ms, call.tried):
+                    self.admission.withdraw(call)
+                    effects.append(Refuse(call.call_id, RefusalReason.UPSTREAM_CLOSED))
+                    continue
                 opens_in_ms = self.pool.opens_in_ms(now_ms, call.tried)
                 if not opens_in_ms or (not call.tried and opens_in_ms < math.inf):
                     break
@@ -259,19 +265,22 @@
         for call in self._unservable_calls(now_ms):
             self.admission.withdraw(call)
             effects.append(Refuse(call.call_id, reason))
-        if self.admission.waiting and not self.pool.has_serving_endpoint():
-            effects.extend(self._refuse_all())
+        if self.admission.waiting:
+            if not self.pool.has_serving_endpoint():
+                effects.extend(self._refuse_all(RefusalReason.NO_UPSTREAM))
+            elif self.pool.closed_for_ms(now_ms):
+                effects.extend(self._refuse_all(RefusalReason.UPSTREAM_CLOSED))
         return effects
 
     def _start(self, call: WaitingCall, endpoint: Endpoint, now_ms: float) -> None:
         self.admission.start(call, self.pool.typical_latency_ms(call.partner))
         self.pool.start(endpoint, call.call_id, call.partner, now_ms)
 
-    def _refuse_all(self) -> list[Effect]:
+    def _refuse_all(self, reason: RefusalReason) -> list[Effect]:
         refused = self.admission.expired(float("inf"))
         for call in refused:
             self.admission.withdraw(call)
-        return [Refuse(call.call_id, RefusalReason.NO_UPSTREAM) for call in refused]
+        return [Refuse(call.call_id, reason) for call in refused]
 
     def _may_serve(self, call: WaitingCall, now_ms: float) -> bool:
         if self.pool.has_serving_endpoint():
@@ -284,8 +293,8 @@
             return 0.0
         return self.pool.opens_in_ms(now_ms)
 
-    def _expected_wait_ms(self, call: WaitingCall) -> float:
-        slots = self.pool.usable_slots(self.pool.typical_latency_ms(call.partner))
+    def _expected_wait_ms(self, call: WaitingCall, now_ms: float) -> float:
+        slots = self.pool.usable_slots(self.pool.typical_latency_ms(call.partner), now_ms)
         if not slots or call.partner not in self.admission.partner_by_name:
             return 0.0
         ahead = self.admission.expected_calls_ahead(call.partner, call.priority)
@@ -293,7 +302,11 @@
 
     def retry_after_ms(self, call: WaitingCall, now_ms: float) -> float:
         """Return the delay after which to retry a refused call, milliseconds."""
-        wait_ms = self._expected_wait_ms(call)
+        closed_for_ms = self.pool.closed_for_ms(now_ms)
+        if closed_for_ms:
+            # Rounded up, so that nobody returns just before the first endpoint opens.
+            return math.ceil(closed_for_ms)
+        wait_ms = self._expected_wait_ms(call, now_ms)
         rate_per_s = self.pool.serving_rate_per_s()
         if not 0 < rate_per_s < UNLIMITED:
             return wait_ms + self.pool.typical_latency_ms(call.partner) / 2
@@ -311,7 +324,7 @@
         return unservable_calls(
             calls,
             self.pool.typical_latency_ms,
-            slots=self.pool.usable_slots(sum(latencies_ms) / len(latencies_ms)),
+            slots=self.pool.usable_slots(sum(latencies_ms) / len(latencies_ms), now_ms),
             now_ms=now_ms,
             opens_in_ms=min(self.pool.opens_in_ms(now_ms), MAX_RETRY_AFTER_MS),
         )
--- a/packages/cassiahaven-core/tests/test_leaving.py
+++ b/packages/cassiahaven-core/tests/test_leaving.py
@@ -108,9 +108,9 @@
     call = make_call("c", idempotent=idempotent)
     [sent] = policy.submit(call, 0.0)
     name = sent.address.endpoint
-    assert policy.pool.may_send(sent.address)
+    assert policy.pool.may_send(sent.address, 2.0)
     policy.pool.record_leaving(name, "1", "answer", 1.0)
-    assert not policy.pool.may_send(sent.address)
+    assert not policy.pool.may_send(sent.address, 2.0)
     effects = policy.place_again(call, name, frozenset(), 2.0)
     assert dispatched(effects) == {"c": {"e0": "e1", "e1": "e0"}[name]}
     assert not policy.pool.endpoint_by_id[name].in_flight
@@ -130,7 +130,7 @@
 def test_call_is_sent_to_another_start_at_the_address_that_it_was_assigned_to(policy):
     [sent] = policy.submit(make_call("c"), 0.0)
     policy.pool.set_endpoints([make_address(name, "2") for name in ("e0", "e1")], 1.0)
-    assert not policy.pool.may_send(sent.address)
+    assert not policy.pool.may_send(sent.address, 2.0)
 
 
 def test_starts_that_ended_are_kept_through_a_day_of_releases():
@@ -222,7 +222,7 @@
         apply(policy.tick(now_ms))
         for endpoint in pool.endpoint_by_id.values():
             listed = (endpoint.address.endpoint, endpoint.address.incarnation)
-            assert pool.may_send(endpoint.address) <= (listed not in told)
+            assert pool.may_send(endpoint.address, now_ms) <= (listed not in told)
             # Nothing but what was said of this very start takes an endpoint out for good.
             if listed not in told | others_told:
                 assert endpoint.status is not EndpointStatus.DRAINING
--- a/packages/cassiahaven-entry/cassiahaven_entry/attempts.py
+++ b/packages/cassiahaven-entry/cassiahaven_entry/attempts.py
@@ -7,6 +7,7 @@
 import eventlet
 
 from cassiahaven_core.answer import MAX_KEPT_ANSWER_BYTES, Answer, AnswerMemory
+from cassiahaven_core.closure import MAX_CLOSURE_MS
 from cassiahaven_core.edge import (
     ResponseSignals,
     SendFailed,
@@ -116,8 +117,8 @@
             if effect.waited_ms >= NOTABLE_WAIT_MS:
                 call.note("waited", f"{effect.waited_ms:.1f} ms for a free slot")
             address = self._choose_endpoint(call, task, effect.address, frozenset(tried))
-            if not task.policy.pool.may_send(address):
-                # It was delisted or said that it leaves after the call was assigned to it.
+            if not task.policy.pool.may_send(address, now_ms()):
+                # It was delisted, closed itself or said that it leaves since the call was assigned.
                 call.note("placed again", f"{address.endpoint} takes no more calls")
                 self._metrics.placed_again.labels(call.service).inc()
                 effect = task.place_again(call.waiting, address.endpoint, frozenset(tried))
@@ -160,8 +161,7 @@
             except BaseException:
                 task.finish(call.waiting, address.endpoint, CallResult.CANCELLED)
                 raise
-            if report.is_leaving:
-                self._record_leaving(task, address, HEALTH_CHECK)
+            self.apply_probe(task, address, report)
             better = task.apply_probe(call.waiting, address.endpoint, report, tried)
             if better is None:
                 break
@@ -289,6 +289,38 @@
         if signal.draining and is_own:
             self._record_leaving(task, address, kind, call.call_id)
 
+        if is_own:
+            self._apply_closure(
+                task, address, signal.closed_for_ms, signal.unreadable_closure, call.call_id
+            )
+
+    def apply_probe(
+        self, task: ServiceTask, address: EndpointAddress, report: LoadReport | ProbeFailed
+    ) -> None:
+        """Apply what an endpoint said of itself in its answer to a probe."""
+        if report.is_leaving:
+            self._record_leaving(task, address, HEALTH_CHECK)
+        if isinstance(report, ProbeFailed):
+            self._apply_closure(task, address, report.closed_for_ms, report.unreadable_closure)
+
+    def _apply_closure(
+        self,
+        task: ServiceTask,
+        address: EndpointAddress,
+        asked_ms: float | None,
+        unreadable: str | None,
+        call_id: str | None = None,
+    ) -> None:
+        if unreadable is not None:
+            self._metrics.unusable_closures.labels(task.service, "ignored").inc()
+            task.record_unreadable_closure(address, unreadable, call_id)
+        if asked_ms is None:
+            return
+        self._metrics.closures.labels(task.service).inc()
+        if asked_ms > MAX_CLOSURE_MS:
+            self._metrics.unusable_closures.labels(task.service, "shortened").inc()
+        task.close_endpoint(address, asked_ms, call_id)
+
     def _record_leaving(
         self, task: ServiceTask, address: EndpointAddress, source: str, call_id: str | None = None
     ) -> None:
--- a/packages/cassiahaven-entry/cassiahaven_entry/http_transport.py
+++ b/packages/cassiahaven-entry/cassiahaven_entry/http_transport.py
@@ -251,6 +251,8 @@
                 draining=signal.draining,
                 is_misdirected=signal.is_misdirected,
                 instance=signal.instance,
+                closed_for_ms=signal.closed_for_ms,
+                unreadable_closure=signal.unreadable_closure,
             )
             return SendFailed(CallResult.CONNECTION_LOST, detail, told, record)
         if signal.not_run:
--- a/packages/cassiahaven-entry/cassiahaven_entry/metrics.py
+++ b/packages/cassiahaven-entry/cassiahaven_entry/metrics.py
@@ -80,6 +80,18 @@
         self.leaving_endpoints = self._gauge(
             "leaving_endpoints", "Starts of endpoints that said in an answer that they leave"
         )
+        self.closures = self._counter(
+            "closures", "Answers in which endpoints wanted no requests for a time", "service"
+        )
+        self.unusable_closures = self._counter(
+            "unusable_closures",
+            "Such times that were ignored or shortened",
+            "service",
+            "handling",
+        )
+        self.closed_endpoints = self._gauge(
+            "closed_endpoints", "Endpoints that want no requests for a time"
+        )
         self.placed_again = self._counter(
             "placed_again", "Calls not sent, as their endpoint took no more calls", "service"
         )
--- a/packages/cassiahaven-entry/cassiahaven_entry/routed_node.py
+++ b/packages/cassiahaven-entry/cassiahaven_entry/routed_node.py
@@ -24,7 +24,7 @@
 from cassiahaven_core.routed_settings import RoutedSettings, SocketAddress
 from cassiahaven_core.table import ServiceTable
 from cassiahaven_entry.adapter import PlatformAdapter
-from cassiahaven_entry.attempts import HEALTH_CHECK, PROBE_TIMEOUT_MS, AttemptRunner
+from cassiahaven_entry.attempts import PROBE_TIMEOUT_MS, AttemptRunner
 from cassiahaven_entry.auxiliary_server import AuxiliaryServer
 from cassiahaven_entry.caller_dialect import Environ
 from cassiahaven_entry.clock import MS_PER_S, now_ms
@@ -124,6 +124,12 @@
                 for task in self._task_by_service.values()
             )
         )
+        self.metrics.closed_endpoints.set_function(
+            lambda: sum(
+                task.policy.pool.closed_endpoints(now_ms())
+                for task in self._task_by_service.values()
+            )
+        )
         self.metrics.kept_endpoints.set_function(lambda: len(self.view.registry.kept_endpoints))
         state = LinkCallbacks(
             report=self._report,
@@ -154,7 +160,7 @@
         callers = self._adapter.make_caller_dialect(self.routing)
         self.quarantine = Quarantine()
         self.transport = HttpTransport(dialect, metrics=self.metrics)
-        attempts = AttemptRunner(
+        self._attempts = AttemptRunner(
             self.transport,
             dialect,
             self.quarantine,
@@ -167,7 +173,7 @@
             self.process,
             self.routing,
             self.task,
-            attempts,
+            self._attempts,
             callers,
             metrics=self.metrics,
         )
@@ -466,8 +472,7 @@
     def _try_endpoint(self, task: ServiceTask, address: EndpointAddress) -> None:
         self.metrics.probes.labels(task.service).inc()
         report = self.transport.probe(address, task.health_path, PROBE_TIMEOUT_MS)
-        if report.is_leaving:
-            task.record_leaving(address, HEALTH_CHECK)
+        self._attempts.apply_probe(task, address, report)
         task.finish_probe_trial(address.endpoint, report)
 
 
--- a/packages/cassiahaven-entry/cassiahaven_entry/service_task.py
+++ b/packages/cassiahaven-entry/cassiahaven_entry/service_task.py
@@ -5,6 +5,7 @@
 from eventlet.event import Event
 
 from cassiahaven_core.admission import Admission, WaitingCall
+from cassiahaven_core.closure import MAX_CLOSURE_MS
 from cassiahaven_core.endpoint import CallResult, LoadReport, ProbeFailed
 from cassiahaven_core.endpoint_address import EndpointAddress
 from cassiahaven_core.endpoint_gate import SlotShare
@@ -20,6 +21,8 @@
 
 DEMAND_SMOOTHING = 0.3
 MAX_LOGGED_TEXT = 100
+MAX_LOGGED_MS = 1e12
+NOTABLE_CLOSURE_MS = 1000.0
 
 
 class ServiceTask:
@@ -160,6 +163,53 @@
         self._log_status(address.endpoint, before)
         return is_first
 
+    def close_endpoint(
+        self, address: EndpointAddress, asked_ms: float, call_id: str | None = None
+    ) -> None:
+        """Apply that an endpoint wants no requests from this entry for a time.
+
+        Args:
+            address: The endpoint and the start of it that said so.
+            asked_ms: The time that it asked for.
+            call_id: The call that was answered, ``None`` for a probe.
+        """
+        left_ms = self.policy.pool.close_endpoint(
+            address.endpoint, address.incarnation, asked_ms, now_ms()
+        )
+        if left_ms is None:
+            return
+        # Calls that were sent together are turned away together.
+        closed_ms = min(asked_ms, MAX_CLOSURE_MS)
+        if not left_ms or abs(closed_ms - left_ms) >= NOTABLE_CLOSURE_MS:
+            log(
+                LogEvent.ENDPOINT_CLOSED,
+                service=self.service,
+                endpoint=address.endpoint,
+                incarnation=address.incarnation,
+                call=call_id,
+                asked_ms=round(min(asked_ms, MAX_LOGGED_MS)),
+                closed_ms=round(closed_ms),
+                left_ms=round(left_ms),
+            )
+        if self.policy.admission.waiting:
+            self.tick()
+
+    def record_unreadable_closure(
+        self, address: EndpointAddress, text: str, call_id: str | None = None
+    ) -> None:
+        """Log a closure that cannot be read, once while its text stays the same."""
+        known = self.policy.pool.endpoint_by_id.get(address.endpoint)
+        if known is None or known.gate.unreadable_closure == text:
+            return
+        known.gate.unreadable_closure = text
+        log(
+            LogEvent.CLOSURE_UNREADABLE,
+            service=self.service,
+            endpoint=address.endpoint,
+            call=call_id,
+            text=text[:MAX_LOGGED_TEXT],
+        )
+
     def place_again(self, call: WaitingCall, endpoint: str, tried: frozenset[str]) -> Effect:
         """Wait until a call that was assigned to an endpoint, but not sent, may be sent again."""
         before = self._status_of(endpoint)
--- a/packages/cassiahaven-entry/tests/test_attempts.py
+++ b/packages/cassiahaven-entry/tests/test_attempts.py
@@ -299,3 +299,29 @@
     )
     assert len(leaving_starts(run_call)) == 1
     finished.stream.close()
+
+
+def test_call_is_sent_to_the_endpoint_whose_health_check_said_that_it_wants_none(run_call):
+    closed = ProbeFailed("status 503", closed_for_ms=5000.0)
+    transport = ProbedTransport(
+        lambda address: closed if len(transport.probed) == 1 else LoadReport(0)
+    )
+    assert run_call(transport, "POST", probes_per_s=1000.0).outcome.status == 200
+    assert transport.probed[0] not in transport.sent
+    pool = run_call.tasks[-1].policy.pool
+    assert pool.endpoint_by_id[transport.probed[0]].gate.closed_for_ms(now_ms()) > 4000.0
+
+
+@pytest.mark.parametrize(
+    ("signal", "handling"),
+    [
+        (ResponseSignals(closed_for_ms=1e9), "shortened"),
+        (ResponseSignals(unreadable_closure="soon"), "ignored"),
+    ],
+)
+def test_unusable_closures_are_not_counted(run_call, signal, handling):
+    refused = Ending("refused", False, lambda: SendFailed(CallResult.REFUSED, "", signal))
+    assert run_call(ScriptedTransport([refused, ENDINGS[0]]), "GET").outcome.status == 200
+    text = run_call.runners[-1]._metrics.text().decode()
+    name = "cassiahaven_unusable_closures_total"
+    assert f'{name}{{handling="{handling}",service="lookup"}} 1.0' in text
--- a/packages/cassiahaven-standins/cassiahaven_standins/platform_endpoint.py
+++ b/packages/cassiahaven-standins/cassiahaven_standins/platform_endpoint.py
@@ -53,6 +53,11 @@
         rate_limits: Time and value of each rate limit that it named, empty for its end.
         limited_responses: Time and request id of each response that named a rate limit.
         is_leaving: Whether its responses say that it leaves.
+        retry_after: Value of ``Retry-After`` with which it rejects requests, then health checks
+            too, empty for none.
+        closing_responses: Time, request id and value of each 503 response with ``Retry-After``, an
+            empty id for a health check.
+        health_checks_s: Time of each health check.
         leaving_responses: Time and request id of each response that said so, an empty id for a
             health check.
         received_requests: Ids of the requests received, including rejected ones.
@@ -74,6 +79,9 @@
         self.rate_limits: list[tuple[float, str]] = []
         self.limited_responses: list[tuple[float, str]] = []
         self.is_leaving = False
+        self.retry_after = ""
+        self.closing_responses: list[tuple[float, str, str]] = []
+        self.health_checks_s: list[float] = []
         self.leaving_responses: list[tuple[float, str]] = []
         self.received_requests: list[str] = []
         self.arrivals: list[tuple[float, str]] = []
@@ -106,6 +114,10 @@
             self._send_endless_response(endless_response)
             return
         if self.path == "/health":
+            state.health_checks_s.append(time.monotonic())
+            if state.fault == "shed" and state.retry_after:
+                self._shed()
+                return
             self._send(200, b"", {"Instance-Id": state.endpoint, "Server-Load": self._load()})
             return
         request = self.headers["Request-Id"]
@@ -115,7 +127,7 @@
             self._send(421, b"", {"Instance-Id": state.endpoint})
             return
         if state.fault == "shed":
-            self._send(503, b"", {"Not-Executed": "1"})
+            self._shed()
             return
         if state.fault == "hang":
             self._hang()
@@ -172,6 +184,15 @@
             pass
         self.state.endless_response_durations_s.append(time.monotonic() - started_s)
 
+    def _shed(self) -> None:
+        headers = {"Not-Executed": "1"}
+        text = self.state.retry_after
+        if text:
+            headers["Retry-After"] = text
+            request = self.headers.get("Request-Id", "")
+            self.state.closing_responses.append((time.monotonic(), request, text))
+        self._send(503, b"", headers)
+
     def _hang(self) -> None:
         self.close_connection = True
         self.connection.settimeout(MAX_HANG_S)
--- a/tests/test_endpoints_that_leave.py
+++ b/tests/test_endpoints_that_leave.py
@@ -4,107 +4,19 @@
 """
 
 import signal
-import threading
 import time
-from itertools import count
 
 import pytest
 
+from cassiahaven_standins.caller_load import CallerLoad
 from cassiahaven_standins.fleet import wait_until
-from cassiahaven_standins.pipelining_caller import PipelinedRequest, PipeliningCaller
 from cassiahaven_standins.platform_fleet import platform_fleet
 
 DRAIN_BOUND_S = 2.0
-CALL_GAP_S = 0.02
 LEARN_S = 1.0
 OUTAGE_S = 3.0
 
 
-class Load:
-    """Callers with new connections and with kept ones, at all entries.
-
-    Attributes:
-        call_by_request: Entry, time and kind of each request.
-        interruptions: Entry and time of each restart and freeze, at its start and its end.
-    """
-
-    def __init__(self, fleet, *, callers):
-        self.fleet = fleet
-        self.call_by_request = {}
-        self.statuses = []
-        self.interruptions = []
-        self._numbers = count()
-        self._stop = threading.Event()
-        entries = fleet.entries
-        calls = [(self._call, entries[n % len(entries)]) for n in range(callers)]
-        calls += [(self._call_in_batches, entry) for entry in entries[:3]]
-        self._threads = [
-            threading.Thread(target=run, args=(entry,), daemon=True) for run, entry in calls
-        ]
-
-    def start(self):
-        for thread in self._threads:
-            thread.start()
-
-    def stop(self):
-        self._stop.set()
-        for thread in self._threads:
-            thread.join()
-
-    def _new_request(self, entry):
-        request = f"load-{next(self._numbers)}"
-        self.call_by_request[request] = (entry.name, time.monotonic())
-        return request
-
-    def _call(self, entry):
-        while not self._stop.wait(CALL_GAP_S):
-            request = self._new_request(entry)
-            is_safe = int(request.rpartition("-")[2]) % 2
-            method, kind = ("GET", "safe") if is_safe else ("POST", "unsafe")
-            status, _, _ = self.fleet.call(entry, method, f"/{kind}/x/1", request=request)
-            self.statuses.append(status)
-
-    def _call_in_batches(self, entry):
-        caller = PipeliningCaller(entry.front_port)
-        while not self._stop.wait(CALL_GAP_S):
-            requests = [self._new_request(entry) for _ in range(3)]
-            batch = [PipelinedRequest("GET", f"/safe/x/{item}", item) for item in requests]
-            self.statuses += [status for status, _ in caller.call(batch)]
-        caller.close()
-
-    def interrupt(self, entry, number, seconds, resume):
-        """Send a signal to an entry and resume it after some seconds."""
-        self.interruptions.append((entry.name, time.monotonic()))
-        entry.signal(number)
-        time.sleep(seconds)
-        resume()
-        self.interruptions.append((entry.name, time.monotonic()))
-
-    def late_calls(self, name):
-        """Return the requests that reached an endpoint from an entry that knew that it leaves."""
-        state = self.fleet.endpoint_by_name[name].state
-        told_s_by_entry = {}
-        late = []
-        events = [(at_s, "told", request) for at_s, request in list(state.leaving_responses)]
-        events += [(at_s, "got", request) for at_s, request in list(state.arrivals)]
-        for at_s, kind, request in sorted(events):
-            if request not in self.call_by_request:
-                continue
-            entry, sent_s = self.call_by_request[request]
-            if kind == "told":
-                told_s_by_entry.setdefault(entry, []).append(at_s)
-                continue
-            excused_s = max((at for other, at in self.interruptions if other == entry), default=0)
-            bound = [told for told in told_s_by_entry.get(entry, ()) if told > excused_s]
-            if bound and sent_s > bound[0] + DRAIN_BOUND_S:
-                late.append(f"{request} from {entry} {at_s - bound[0]:.1f} s after it was told")
-        return late
-
-    def arrivals(self, name, from_s, to_s=float("inf")):
-        state = self.fleet.endpoint_by_name[name].state
-        return sum(from_s <= at_s < to_s for at_s, _ in list(state.arrivals))
-
-
 @pytest.fixture
 def fleet(tmp_path):
     with platform_fleet(tmp_path, entries=3, has_proxies=True) as running:
@@ -117,7 +29,7 @@
 
 @pytest.fixture
 def load(fleet):
-    running = Load(fleet, callers=9)
+    running = CallerLoad(fleet, callers=9)
     running.start()
     time.sleep(LEARN_S)
     yield running
@@ -138,11 +50,11 @@
     time.sleep(seconds)
     assert load.arrivals(name, from_s) == 0
     assert load.arrivals("i-1", from_s) + load.arrivals("i-2", from_s) > 10
-    assert load.late_calls(name) == []
+    assert load.late_requests(name, DRAIN_BOUND_S) == []
 
 
 def test_endpoint_that_leaves_without_a_word_in_the_store_gets_calls(fleet, load):
-    assert load.arrivals("i-0", 0) > 10
+    assert load.arrivals("i-0") > 10
     leave(fleet, "i-0")
     assert_unused(load, "i-0", 3.0)
     load.stop()
@@ -210,7 +122,7 @@
             fleet.add_endpoint(f"i-{number}", "one", zone="ab"[number % 2])
         fleet.configure({"x": "one"})
         fleet.start()
-        load = Load(fleet, callers=30)
+        load = CallerLoad(fleet, callers=30)
         load.start()
         try:
             time.sleep(2 * LEARN_S)
@@ -220,6 +132,6 @@
             time.sleep(5.0)
             # Entries that have not called it since may send it the call that tells them.
             assert load.arrivals("i-0", from_s) <= len(fleet.entries)
-            assert load.late_calls("i-0") == []
+            assert load.late_requests("i-0", DRAIN_BOUND_S) == []
         finally:
             load.stop()
--- a/tests/test_platform_translation.py
+++ b/tests/test_platform_translation.py
@@ -435,3 +435,21 @@
     assert not dialect.read_health(200, {"instance-id": "i-1"}, "i-1").is_leaving
     # Another endpoint answers at this address.
     assert not dialect.read_health(503, leaving, "i-2").is_leaving
+
+
+@pytest.mark.parametrize(
+    ("status", "text", "closed_for_ms", "unreadable"),
+    [
+        (503, "1.5", 1500.0, None),
+        (503, "soon", None, "soon"),
+        (503, "-1", None, "-1"),
+        (429, "2", None, None),  # only a 503 closes its endpoint
+        (200, "2", None, None),
+    ],
+)
+def test_only_a_503_with_a_number_closes_its_endpoint(status, text, closed_for_ms, unreadable):
+    signal = head(status, Retry_After=text, Not_Executed="1")
+    assert (signal.closed_for_ms, signal.unreadable_closure) == (closed_for_ms, unreadable)
+    if status != 200:
+        report = PlatformUpstreams().read_health(status, {"retry-after": text}, "i-1")
+        assert (report.closed_for_ms, report.unreadable_closure) == (closed_for_ms, unreadable)
