Let the soak's endpoints leave and close themselves, and check what they then get

Endpoints say at random that they leave, some are then withdrawn or started again under the same id; one, some or all of a service turn requests away with Retry-After, some with values that cannot be read. Both rules are checked for each entry, excused by its restarts and freezes only.

--- a/packages/cassiahaven-standins/cassiahaven_standins/platform_soak.py
+++ b/packages/cassiahaven-standins/cassiahaven_standins/platform_soak.py
@@ -21,6 +21,7 @@
 
 from cassiahaven_standins.fleet import wait_until
 from cassiahaven_standins.link_proxy import LinkProxy
+from cassiahaven_standins.notice_check import Arrival, late_requests, requests_while_closed
 from cassiahaven_standins.pipelining_caller import PipelinedRequest, PipeliningCaller
 from cassiahaven_standins.platform_endpoint import EndpointState, endpoint_answer
 from cassiahaven_standins.platform_fleet import (
@@ -59,6 +60,14 @@
 RATE_LIMITS_PER_S = (0.4, 6.0)
 UNREADABLE_SHARE = 0.2
 UNREADABLE_RATE_LIMITS = ("soon", "-1", "nan", "1e3", "2 calls", ",")
+LEAVING_GAP_S = (1.0, 5.0)
+LEAVING_S = (2.0, 4.0)  # until it is withdrawn in the store or started again
+STARTED_AGAIN_SHARE = 0.3
+WITHDRAWN_SHARE = 0.5
+CLOSED_GAP_S = (0.5, 3.0)
+TURNING_AWAY_S = (0.2, 1.2)
+CLOSURES_S = (0.3, 5.0)
+UNREADABLE_CLOSURES = ("soon", "-1", "nan", "1e3", "Sat, 05 Dec 2026 16:00:00 GMT")
 NOT_RUN_STATUSES = (408, 421, 429, 503)
 
 
@@ -86,6 +95,8 @@
             store, in order.
         interruption_times_s_by_entry: Start and end times of kills, freezes and stops.
         departures: Endpoints that were drained or removed, with the time.
+        started_again_s_by_endpoint: When each endpoint that had said that it leaves was started
+            again under the same id.
     """
 
     sent: list[SentCall] = field(default_factory=list)
@@ -94,6 +105,7 @@
     fault_times_s_by_entry: dict[str, list[float]] = field(default_factory=dict)
     interruption_times_s_by_entry: dict[str, list[float]] = field(default_factory=dict)
     departures: list[tuple[str, float]] = field(default_factory=list)
+    started_again_s_by_endpoint: dict[str, float] = field(default_factory=dict)
 
 
 class Soak:
@@ -108,6 +120,7 @@
         self._healing = threading.Event()
         self._lock = threading.Lock()
         self._frozen: set[str] = set()
+        self._leaving: set[str] = set()
         self._endpoints = 0
 
     def run(self, seconds: float) -> Findings:
@@ -124,6 +137,8 @@
         ]
         callers.append(threading.Thread(target=self._name_rate_limits))
         callers.append(threading.Thread(target=self._spoil_answers))
+        callers.append(threading.Thread(target=self._let_endpoints_leave))
+        callers.append(threading.Thread(target=self._let_endpoints_close))
         callers.append(threading.Thread(target=self._lose_watch_answers))
         for caller in callers:
             caller.start()
@@ -139,6 +154,7 @@
         self._check_runs()
         self._check_drains()
         self._check_rate_limits()
+        self._check_notices()
         return self.findings
 
     def _call(self, number: int) -> None:
@@ -223,6 +239,56 @@
                 if state.fault == fault:
                     state.fault = ""
 
+    def _let_endpoints_leave(self) -> None:
+        """Let endpoints say in their answers that they leave, beside the faults.
+
+        Some are withdrawn in the store later, some are started again under the same id.
+        """
+        rng = random.Random(f"{self._seed}/leaving")
+        while not self._healing.wait(rng.uniform(*LEAVING_GAP_S)):
+            name = self._pick_endpoint(rng)
+            self.findings.faults["leave"] += 1
+            self._leaving.add(name)
+            endpoint = self.fleet.endpoint_by_name[name]
+            self._add_endpoint(endpoint.state.service)
+            endpoint.state.is_leaving = True
+            if self._healing.wait(rng.uniform(*LEAVING_S)):
+                return
+            if rng.random() < STARTED_AGAIN_SHARE:
+                endpoint.state.is_leaving = False
+                self.findings.started_again_s_by_endpoint[name] = time.monotonic()
+                registration = endpoint.registration()
+                registration["born"] += 1
+                self.fleet.store.state.put("servers", name, registration)
+            elif rng.random() < WITHDRAWN_SHARE:
+                self.fleet.drain(name)
+                self.findings.departures.append((name, time.monotonic()))
+
+    def _let_endpoints_close(self) -> None:
+        """Let endpoints turn requests away for a time that they name, beside the faults."""
+        rng = random.Random(f"{self._seed}/closing")
+        while not self._healing.wait(rng.uniform(*CLOSED_GAP_S)):
+            states = [item.state for item in list(self.fleet.endpoint_by_name.values())]
+            first = rng.choice(states)
+            akin = [item for item in states if _is_akin(item, first)]
+            # One, some or all endpoints of a service.
+            closed = rng.sample(akin, rng.choice([1, rng.randint(1, len(akin)), len(akin)]))
+            self.findings.faults["close"] += 1
+            for state in closed:
+                state.retry_after = _retry_after(rng)
+                state.fault = state.fault or "shed"
+            self._healing.wait(rng.uniform(*TURNING_AWAY_S))
+            for state in closed:
+                state.retry_after = ""
+                if state.fault == "shed":
+                    state.fault = ""
+
+    def _pick_endpoint(self, rng: random.Random) -> str:
+        """Return an endpoint that was not withdrawn and did not say that it leaves."""
+        with self._lock:
+            gone = {name for name, _ in self.findings.departures} | self._leaving
+            return rng.choice([name for name in self.fleet.endpoint_by_name if name not in gone])
+
     def _lose_watch_answers(self) -> None:
         """Let the store lose its answers to watches at times, beside the faults."""
         rng = random.Random(f"{self._seed}/watches")
@@ -385,9 +451,7 @@
         self._retire_endpoint(lambda name: self.fleet.store.state.delete("servers", name))
 
     def _retire_endpoint(self, withdraw: Callable[[str], None]) -> None:
-        departed = [name for name, _ in self.findings.departures]
-        candidates = [name for name in self.fleet.endpoint_by_name if name not in departed]
-        name = self._random.choice(candidates)
+        name = self._pick_endpoint(self._random)
         self._add_endpoint(self.fleet.endpoint_by_name[name].state.service)
         withdraw(name)
         self.findings.departures.append((name, time.monotonic()))
@@ -422,8 +486,9 @@
         return self._random.choice(list(links))
 
     def _add_endpoint(self, service: str) -> None:
-        self._endpoints += 1
-        self.fleet.add_endpoint(f"i-{self._endpoints}", service)
+        with self._lock:
+            self._endpoints += 1
+            self.fleet.add_endpoint(f"i-{self._endpoints}", service)
 
     def _heal(self) -> None:
         self._healing.set()
@@ -433,6 +498,7 @@
             proxy.heal()
         for endpoint in self.fleet.endpoint_by_name.values():
             endpoint.state.fault = ""
+            endpoint.state.retry_after = ""
             endpoint.state.name_rate_limit("")
         for entry in self.fleet.entries:
             self._restart(entry)
@@ -518,6 +584,50 @@
                     )
                 ]
 
+    def _check_notices(self) -> None:
+        sent_by_request = {item.request: item for item in self.findings.sent}
+        arrival_count = Counter(
+            request
+            for endpoint in self.fleet.endpoint_by_name.values()
+            for request in endpoint.state.received_requests
+        )
+        for name, endpoint in self.fleet.endpoint_by_name.items():
+            state = endpoint.state
+            end_s = self.findings.started_again_s_by_endpoint.get(name, float("inf"))
+            # An answer counts if it was passed on: the request reached no other endpoint.
+            told = [
+                (at_s, sent_by_request[request].entry)
+                for at_s, request in state.leaving_responses
+                if arrival_count[request] == 1
+                and request in sent_by_request
+                and sent_by_request[request].status == 200
+            ]
+            arrivals = [
+                Arrival(at_s, item.entry, item.sent_s, request)
+                for at_s, request in state.arrivals
+                if at_s < end_s and (item := sent_by_request.get(request)) is not None
+            ]
+            late = late_requests(
+                told, arrivals, drain_s=DRAIN_BOUND_S, is_excused=self._was_interrupted_within
+            )
+            self.findings.violations += [f"leaving: {name}: {text}" for text in late]
+            closings = [
+                (at_s, sent_by_request[request].entry, float(text))
+                for at_s, request, text in state.closing_responses
+                if request in sent_by_request and text.replace(".", "", 1).isdecimal()
+            ]
+            got = [
+                (at_s, sent_by_request[request].entry)
+                for at_s, request in state.arrivals
+                if request in sent_by_request
+            ]
+            found = requests_while_closed(closings, got, is_excused=self._was_interrupted_within)
+            self.findings.violations += [f"closed: {name}: {text}" for text in found]
+
+    def _was_interrupted_within(self, entry: str, from_s: float, to_s: float) -> bool:
+        times_s = self.findings.interruption_times_s_by_entry.get(entry, [])
+        return any(from_s <= item <= to_s for item in times_s)
+
     def _was_interrupted(self, entry: str, from_s: float, to_s: float) -> bool:
         times_s = self.findings.interruption_times_s_by_entry.get(entry, [])
         return any(from_s - CONTACT_S <= item <= to_s for item in times_s)
@@ -542,6 +652,12 @@
     return f"{rng.uniform(*RATE_LIMITS_PER_S):.1f}"
 
 
+def _retry_after(rng: random.Random) -> str:
+    if rng.random() < UNREADABLE_SHARE:
+        return rng.choice(UNREADABLE_CLOSURES)
+    return f"{rng.uniform(*CLOSURES_S):.1f}"
+
+
 def _request(kind: str, prefix: str, request: str) -> PipelinedRequest:
     target = f"/{kind}/{prefix}/{request}"
     if kind == "unsafe":
--- a/tests/test_platform_soak.py
+++ b/tests/test_platform_soak.py
@@ -12,6 +12,7 @@
     (310, 12.0),  # an entry that had lost the store kept an endpoint whose registration was gone
     (2002, 10.0),  # answers that were cut within their head were passed on as empty ones
     (901, 10.0),  # endpoints got their usual calls although they had named a rate limit
+    (4001, 10.0),  # endpoints that had said in answers that they leave got calls
 ]
 
 
