--- a/packages/cassiahaven-entry/cassiahaven_entry/http_transport.py
+++ b/packages/cassiahaven-entry/cassiahaven_entry/http_transport.py
@@ -19,6 +19,7 @@
 
 from cassiahaven_core.answer_record import AnswerRecord, Framing
 from cassiahaven_core.edge import (
+    ResponseSignals,
     SendFailed,
     SendResult,
     TransferBroken,
@@ -27,7 +28,8 @@
     UpstreamRequest,
     UpstreamTransport,
 )
-from cassiahaven_core.pool import CallResult, EndpointAddress, LoadReport, ProbeFailed
+from cassiahaven_core.endpoint import CallResult, LoadReport, ProbeFailed
+from cassiahaven_core.endpoint_address import EndpointAddress
 from cassiahaven_entry._connection import (
     BODILESS_STATUSES,
     PeekingConnection,
@@ -265,7 +267,14 @@
                     answer=record.to_plain(),
                 )
             detail = "answer belongs to another call"
-            return SendFailed(CallResult.CONNECTION_LOST, detail, record=record)
+            told = ResponseSignals(
+                draining=signal.draining,
+                is_misdirected=signal.is_misdirected,
+                instance=signal.instance,
+                closed_for_ms=signal.closed_for_ms,
+                unreadable_closure=signal.unreadable_closure,
+            )
+            return SendFailed(CallResult.CONNECTION_LOST, detail, told, record)
         if signal.not_run:
             _discard(response)
             self._report_surplus(address, record, request.request_id)
--- a/packages/cassiahaven-entry/tests/test_http_transport.py
+++ b/packages/cassiahaven-entry/tests/test_http_transport.py
@@ -14,7 +14,8 @@
 
 from cassiahaven_core.answer_record import ConnectionEnd, Framing
 from cassiahaven_core.edge import SendFailed, TransferBroken, UpstreamRequest
-from cassiahaven_core.pool import CallResult, EndpointAddress
+from cassiahaven_core.endpoint import CallResult
+from cassiahaven_core.endpoint_address import EndpointAddress
 from cassiahaven_entry import http_transport as http_transport_module
 from cassiahaven_entry._connection import PeekingConnection, UpstreamSocket
 from cassiahaven_entry.event import LogEvent
--- a/packages/cassiahaven-standins/cassiahaven_standins/platform_endpoint.py
+++ b/packages/cassiahaven-standins/cassiahaven_standins/platform_endpoint.py
@@ -52,6 +52,14 @@
             ``name_rate_limit``.
         rate_limits: Time and value of each rate limit that it named, empty for its end.
         limited_responses: Time and request id of each response that named a rate limit.
+        is_leaving: Whether its responses say that it leaves.
+        retry_after: Value of ``Retry-After`` with which it rejects requests, then health checks
+            too, empty for none.
+        closing_responses: Time, request id and value of each 503 response with ``Retry-After``, an
+            empty id for a health check.
+        health_checks_s: Time of each health check.
+        leaving_responses: Time and request id of each response that said so, an empty id for a
+            health check.
         received_requests: Ids of the requests received, including rejected ones.
         arrivals: Time and id of each of them.
         ran: Id, start time and path of each request that was run.
@@ -70,6 +78,11 @@
         self.rate_limit = ""
         self.rate_limits: list[tuple[float, str]] = []
         self.limited_responses: list[tuple[float, str]] = []
+        self.is_leaving = False
+        self.retry_after = ""
+        self.closing_responses: list[tuple[float, str, str]] = []
+        self.health_checks_s: list[float] = []
+        self.leaving_responses: list[tuple[float, str]] = []
         self.received_requests: list[str] = []
         self.arrivals: list[tuple[float, str]] = []
         self.ran: list[tuple[str, float, str]] = []
@@ -103,6 +116,10 @@
             self._send_endless_response(endless_response)
             return
         if self.path == "/health":
+            state.health_checks_s.append(time.monotonic())
+            if state.fault == "shed" and state.retry_after:
+                self._shed()
+                return
             self._send(200, b"", {"Instance-Id": state.endpoint, "Server-Load": self._load()})
             return
         request = self.headers["Request-Id"]
@@ -112,7 +129,7 @@
             self._send(421, b"", {"Instance-Id": state.endpoint})
             return
         if state.fault == "shed":
-            self._send(503, b"", {"Not-Executed": "1"})
+            self._shed()
             return
         if state.fault == "hang":
             self._hang()
@@ -177,6 +194,15 @@
             pass
         self.state.endless_response_durations_s.append(time.monotonic() - started_s)
 
+    def _shed(self) -> None:
+        headers = {"Not-Executed": "1"}
+        text = self.state.retry_after
+        if text:
+            headers["Retry-After"] = text
+            request = self.headers.get("Request-Id", "")
+            self.state.closing_responses.append((time.monotonic(), request, text))
+        self._send(503, b"", headers)
+
     def _hang(self) -> None:
         self.close_connection = True
         self.connection.settimeout(MAX_HANG_S)
@@ -191,7 +217,7 @@
 
     def _send_cut(self, body: bytes, headers: dict[str, str]) -> None:
         rng = self.state.random
-        headers = headers | self._rate_limit_headers()
+        headers = headers | self._notices()
         answer = rng.choice(list(FRAMING_BY_NAME.values())).encode("200 OK", headers, body)
         # Half of the cuts are near the start, so that they often hit the head of long answers too.
         end = rng.choice([len(answer.data), min(len(answer.data), 2 * answer.head_size)])
@@ -208,19 +234,23 @@
             return
 
     def _send_twice(self, body: bytes, headers: dict[str, str]) -> None:
-        limited = headers | self._rate_limit_headers()
+        limited = headers | self._notices()
         answer = LengthFraming().encode("200 OK", limited, body)
         self._write(answer.data)
-        self._record_rate_limit(limited)
+        self._record_notices(limited)
         delay_s = self.state.random.uniform(*SECOND_ANSWER_DELAY_S)
         second = threading.Timer(delay_s, self._write, (answer.data,))
         second.daemon = True
         second.start()
 
-    def _rate_limit_headers(self) -> dict[str, str]:
-        return {"Server-Limit": self.state.rate_limit} if self.state.rate_limit else {}
+    def _notices(self) -> dict[str, str]:
+        notices = {"Server-Limit": self.state.rate_limit} if self.state.rate_limit else {}
+        return notices | ({"Server-Leaving": "1"} if self.state.is_leaving else {})
 
-    def _record_rate_limit(self, headers: dict[str, str]) -> None:
+    def _record_notices(self, headers: dict[str, str]) -> None:
+        if "Server-Leaving" in headers:
+            request = self.headers.get("Request-Id", "")
+            self.state.leaving_responses.append((time.monotonic(), request))
         if "Server-Limit" in headers and "Request-Id" in headers:
             self.state.limited_responses.append((time.monotonic(), headers["Request-Id"]))
 
@@ -243,12 +273,12 @@
     def _send_locked(
         self, status: int, body: bytes, headers: dict[str, str], *, length: int
     ) -> None:
-        headers = headers | self._rate_limit_headers()
+        headers = headers | self._notices()
         try:
             self.send_response(status)
             for name, value in headers.items():
                 self.send_header(name, value)
-            self._record_rate_limit(headers)
+            self._record_notices(headers)
             self.send_header("Content-Length", str(length))
             self.end_headers()
             self.wfile.write(body)
