--- a/packages/cassiahaven-standins/cassiahaven_standins/link_proxy.py
+++ b/packages/cassiahaven-standins/cassiahaven_standins/link_proxy.py
@@ -65,11 +65,14 @@
             except OSError:
                 if self._listener.fileno() < 0:
                     return
-                client.close()
+                self._refuse(client)
                 continue
             self._open_sockets += [client, server]
             self._serve(client, server)
 
+    def _refuse(self, client: socket.socket) -> None:
+        client.close()
+
     def _serve(self, client: socket.socket, server: socket.socket) -> None:
         for source, sink, is_from_target in ((client, server, False), (server, client, True)):
             threading.Thread(
--- a/packages/cassiahaven-standins/cassiahaven_standins/segment_proxy.py
+++ b/packages/cassiahaven-standins/cassiahaven_standins/segment_proxy.py
@@ -46,6 +46,10 @@
         super().__init__(target)
         self._listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, BUFFER_BYTES)
 
+    def _refuse(self, client: socket.socket) -> None:
+        # The target may have reset the connection as soon as it was open.
+        _reset(client)
+
     def _serve(self, client: socket.socket, server: socket.socket) -> None:
         threading.Thread(target=self._relay, args=(client, server), daemon=True).start()
 
