Show that a body that was cut is filled up with the answer behind it (red)

What callers see: a success whose body is in part the head and the body of another answer. In a framing with a length it has the announced length; one that ends with its connection is longer than the endpoint's. Unsafe calls are affected too: it takes one connection and one request.

Cause: an endpoint cuts an answer within its body and answers the same request again on the same connection. The bytes of the second answer are read as the rest of the first body. The head is right, so neither the request id nor the check of heads can tell.

--- a/tests/test_answer_framing.py
+++ b/tests/test_answer_framing.py
@@ -215,3 +215,23 @@
         part: body for part, body in zip(parts, bodies, strict=True) if body not in (BODY, None)
     }
     assert wrong == {}
+
+
+@pytest.mark.parametrize("framing", FRAMING_BY_NAME)
+def test_answer_cut_in_its_body_is_not_filled_up_with_the_one_behind_it(send_calls, framing):
+    # The head of the repeated answer became the end of a body that had the announced length.
+    first = FRAMING_BY_NAME[framing].encode("200 OK", HEADERS, BODY)
+    cuts = [
+        (name, size)
+        for name in ("length", "chunks", "connection")
+        for size in range(first.head_size, len(first.data))
+        for _ in ("GET", "POST")
+    ]
+    second_by_name = {
+        name: FRAMING_BY_NAME[name].encode("200 OK", HEADERS, BODY).data for name, _ in cuts
+    }
+    bodies = send_calls([(first.data[:size] + second_by_name[name], False) for name, size in cuts])
+    wrong = [
+        (*cut, body) for cut, body in zip(cuts, bodies, strict=True) if body not in (BODY, None)
+    ]
+    assert wrong == []
