Break off a body within which the answer begins again

Cause: an endpoint cut an answer within its body and answered the same request again on the same connection. Only the head was checked.

Without the check in http_transport all ten cases of test_streamed_answer_cut_in_its_body_is_not_filled_up_with_the_one_behind_it failed as well.

The body is searched for a status line that is followed, before a blank line, by a header whose value is the request's own id. A head that lies in part behind a body with a length is found with the bytes received behind that body. The body then counts as broken off, like any other. A repeated answer behind a whole body ends nothing early, nor does a body that quotes the answer to another request (test_body_that_quotes_an_answer_is_passed_on).

What remains: requests without an id (the native dialect); a second head that is itself cut in front of the id, in a framing that ends with the connection; and a second head of which less than the id arrives before the first body is complete. A body that quotes a whole head of an answer to this very request is refused.

--- a/packages/cassiahaven-core/cassiahaven_core/answer_record.py
+++ b/packages/cassiahaven-core/cassiahaven_core/answer_record.py
@@ -36,7 +36,7 @@
         declared_bytes: Length of the body according to its head, ``None`` if the head names none.
         received_bytes: Bytes received, including the head and bytes behind the answer.
         body_bytes: Bytes of the body that were passed on.
-        surplus_bytes: Bytes behind the answer that were received together with it.
+        surplus: Bytes behind the answer that were received together with it.
         connection: How the connection had ended.
         is_whole: Whether the answer was read to its end.
     """
@@ -46,10 +46,15 @@
     declared_bytes: int | None = None
     received_bytes: int = 0
     body_bytes: int = 0
-    surplus_bytes: int = 0
+    surplus: bytes = b""
     connection: ConnectionEnd = ConnectionEnd.OPEN
     is_whole: bool = False
 
+    @property
+    def surplus_bytes(self) -> int:
+        """Return the number of bytes behind the answer that were received together with it."""
+        return len(self.surplus)
+
     def to_plain(self) -> dict[str, Any]:
         """Return the record as a dictionary of plain values."""
         return {
--- a/packages/cassiahaven-entry/cassiahaven_entry/_connection.py
+++ b/packages/cassiahaven-entry/cassiahaven_entry/_connection.py
@@ -153,7 +153,7 @@
     def _close_conn(self) -> None:
         if not self.fp.closed:
             self._bytes.is_paused = True
-            self._record.surplus_bytes = len(self.fp.peek())
+            self._record.surplus = self.fp.peek()
         super()._close_conn()
 
 
--- a/packages/cassiahaven-entry/cassiahaven_entry/http_transport.py
+++ b/packages/cassiahaven-entry/cassiahaven_entry/http_transport.py
@@ -31,6 +31,7 @@
 from cassiahaven_entry._connection import BODILESS_STATUSES, PeekingConnection, WholeResponsePool
 from cassiahaven_entry.event import LogEvent, log
 from cassiahaven_entry.metrics import Metrics
+from cassiahaven_entry.repeated_answer import RepeatedAnswer
 
 CONNECT_TIMEOUT_S = 0.5
 DOWN_CHECK_TIMEOUT_S = 0.1  # a dying process closes its sockets sooner, even on a busy machine
@@ -286,8 +287,11 @@
         response: urllib3.BaseHTTPResponse,
         record: AnswerRecord,
     ) -> Iterator[bytes]:
+        repeated = RepeatedAnswer(request.request_id) if request.request_id else None
         try:
             for part in _read(response):
+                if repeated is not None and repeated.begins_in(part, record.surplus):
+                    raise HTTPError("the answer begins again within its body")
                 record.body_bytes += len(part)
                 yield part
         except (HTTPError, OSError) as error:
--- a/tests/test_answer_scripts.py
+++ b/tests/test_answer_scripts.py
@@ -151,3 +151,25 @@
     # Late, repeated, cut and reset answers in any order were mixed with those that were due.
     scripts = [new_script(rng, f"s{number}") for number, rng in enumerate(randoms)]
     assert runner.play(scripts) == []
+
+
+@pytest.mark.parametrize("cut", [10, 65_530, 65_536, 199_985, 199_999])
+@pytest.mark.parametrize("call_id", ["g.0", "e"])
+def test_streamed_answer_cut_in_its_body_is_not_filled_up_with_the_one_behind_it(
+    runner, call_id, cut
+):
+    # A long body is passed on in parts, and the second head may lie in two of them or behind them.
+    body = b"abcdefghij" * 20_000
+    answer = encode(call_id, body)
+    first = answer[: len(answer) - len(body) + cut]
+    results = runner.results([[exchange(call_id, first + answer, end=End.CLOSE)]])
+    assert results == [[None]]
+
+
+@pytest.mark.parametrize("call_id", ["h.0", "e"])
+def test_body_that_quotes_an_answer_is_passed_on(runner, call_id):
+    # The body of another request's answer, and a part of one to this request, end no answer early.
+    quoted = encode("other", b"x") + b"GET / HTTP/1.1\r\nRequest-Id: " + call_id.encode()
+    answer = encode(call_id, quoted)
+    results = runner.results([[exchange(call_id, answer + answer, end=End.CLOSE)]])
+    assert results == [[handed_out(200, quoted)]]
