--- a/packages/cassiahaven-entry/cassiahaven_entry/http_transport.py
+++ b/packages/cassiahaven-entry/cassiahaven_entry/http_transport.py
@@ -305,7 +305,7 @@
         response: urllib3.BaseHTTPResponse,
         record: AnswerRecord,
     ) -> Iterator[bytes]:
-        repeated = RepeatedAnswer(request.request_id) if request.request_id else None
+        repeated = RepeatedAnswer(request_id) if request_id else None
         try:
             for part in _read(response):
                 if repeated is not None and repeated.begins_in(part, record.surplus):
