Let property tests of the core run without the library's time limit

test_lifecycle_index_agrees_with_the_chart_interpreter failed once, at a machine load of 32: hypothesis allows 200 ms for an example unless told otherwise. Stopped for 0.4 s now and then, the test fails each time with DeadlineExceeded (421.95 ms) and then FlakyFailure, and passes with this change under the same stops. The limit is the library's default and no target of ours; tests assert nothing on wall-clock time (docs/developers.md). What the four tests check is unchanged.

--- a/packages/cassiahaven-core/tests/test_parts.py
+++ b/packages/cassiahaven-core/tests/test_parts.py
@@ -66,7 +66,7 @@
     assert sizes == [1, 1, 2, 6]
 
 
-@settings(derandomize=True, max_examples=60)
+@settings(derandomize=True, max_examples=60, deadline=None)
 @given(st.lists(st.sampled_from(list(EndpointEvent)), max_size=12))
 def test_lifecycle_index_agrees_with_the_chart_interpreter(events):
     interpreter = Interpreter(import_from_yaml(chart_text()))
@@ -141,7 +141,7 @@
     assert decode(encode(message)) == message
 
 
-@settings(derandomize=True)
+@settings(derandomize=True, deadline=None)
 @given(st.binary(max_size=200))
 def test_garbage_is_a_malformed_message(data):
     with pytest.raises(MalformedMessage):
--- a/packages/cassiahaven-core/tests/test_store_outage.py
+++ b/packages/cassiahaven-core/tests/test_store_outage.py
@@ -53,7 +53,7 @@
     assert contact.is_store_down(500.0 + MIN_OUTAGE_MS)
 
 
-@settings(derandomize=True)
+@settings(derandomize=True, deadline=None)
 @given(
     st.lists(st.floats(0, 60_000), max_size=40),
     st.lists(st.floats(0, REPORT_MS), min_size=120, max_size=120),
--- a/packages/cassiahaven-core/tests/test_table.py
+++ b/packages/cassiahaven-core/tests/test_table.py
@@ -55,7 +55,7 @@
 )
 
 
-@settings(derandomize=True)
+@settings(derandomize=True, deadline=None)
 @given(st.lists(ROWS, max_size=5), st.randoms(use_true_random=False))
 def test_merging_in_any_order_gives_the_same_rows(batches, rng):
     shuffled = list(batches)
