Refuse a request that is cut off within its head and followed by another one

What callers could see: the answer to a request that they had not sent, an unsafe one run with the headers and the body of the next request on the connection. It takes a caller that cuts a request and goes on; that users' callers do so is not shown.

Cause: the same as in answers: the next request line continues the line that was cut, and two heads are read as one. A cut behind a lone carriage return ends the headers for the library's parser, which takes the rest for a payload and ignores it.

Evidence: test_request_cut_in_its_head_does_not_run_with_the_body_of_the_one_behind_it failed before, at a cut within the Host line (200 in place of 400); with the check of hosts alone, it failed at the cut behind the last carriage return.

A request with two Host headers, which HTTP/1.1 forbids, or with a payload in its head is malformed now: 400, and the connection is closed. A cut before the Host header, in a header that precedes it, and a cut within the method are still not told.

--- a/packages/cassiahaven-entry/cassiahaven_entry/caller_connection.py
+++ b/packages/cassiahaven-entry/cassiahaven_entry/caller_connection.py
@@ -427,9 +427,12 @@
     """Return whether the headers tell where a request ends.
 
     The library drops headers behind a malformed line, uses the first of several lengths, and takes
-    a body in an unknown transfer coding for further requests.
+    a body in an unknown transfer coding for further requests. A request that is cut off within its
+    head, and followed by another one, looks like one request with two hosts.
     """
-    if headers.defects or any(name != name.strip() for name in headers):
+    if headers.defects or headers.get_payload() or any(name != name.strip() for name in headers):
+        return False
+    if len(headers.get_all("host", [])) > 1:
         return False
     lengths = headers.get_all("content-length", [])
     codings = headers.get_all("transfer-encoding", [])
--- a/packages/cassiahaven-entry/tests/test_caller_connection.py
+++ b/packages/cassiahaven-entry/tests/test_caller_connection.py
@@ -327,6 +327,18 @@
     assert not rest._waiters
 
 
+def test_request_cut_in_its_head_does_not_run_with_the_body_of_the_one_behind_it(backend, connect):
+    # Two heads were read as one: the first request ran with the second one's headers and body.
+    line = "POST /now/cut HTTP/1.1\r\n"
+    head = f"{line}Host: h\r\nX-Trace: abc\r\nContent-Length: 4\r\n\r\n"
+    for size in range(len(line), len(head)):
+        caller = connect()
+        caller.socket.sendall(head[:size].encode())
+        caller.send("/now/next", method="POST", body=b"next")
+        assert caller.read()[0] == 400, head[:size]
+    assert backend.started == []
+
+
 def test_a_malformed_request_is_answered_in_its_turn_and_ends_the_connection(backend, connect):
     caller = connect()
     caller.send("/a", "/b")
