Show what is left of bodies that are filled up with the answer behind them (red)

What callers see: a mixed body of the announced length, as before, if the second head arrives in two parts and the first part ends exactly where the first body ends, in front of the request's id. Only what was received together with the body can be searched.

Evidence: the test places that boundary at every length.

Not fixed: a body whose end only looks like the start of a head cannot be refused without refusing proper ones, and waiting for what may follow would delay every answer.

--- a/tests/test_answer_scripts.py
+++ b/tests/test_answer_scripts.py
@@ -173,3 +173,15 @@
     answer = encode(call_id, quoted)
     results = runner.results([[exchange(call_id, answer + answer, end=End.CLOSE)]])
     assert results == [[handed_out(200, quoted)]]
+
+
+def test_body_that_a_second_head_fills_to_its_end_is_not_passed_on(runner):
+    # The first body was complete before the second head's id arrived, which alone shows it.
+    body = b"abcdefghij" * 10
+    scripts = []
+    for missing in range(1, len(body) + 1):
+        call_id = f"z{missing:03}.0"
+        answer = encode(call_id, body)
+        first = answer[:-missing] + answer[:missing]
+        scripts.append([exchange(call_id, first, PAUSE_S, answer[missing:], end=End.CLOSE)])
+    assert runner.results(scripts) == [[None]] * len(scripts)
