--- a/tests/test_answer_rig.py
+++ b/tests/test_answer_rig.py
@@ -11,7 +11,7 @@
 from cassiahaven_standins.answer_reader import AnswerReader
 from cassiahaven_standins.fleet import wait_until
 from cassiahaven_standins.platform_answer_rig import SERVICE_BY_PREFIX, AnswerRig, RigReport
-from cassiahaven_standins.platform_endpoint import EndpointHandler
+from cassiahaven_standins.platform_endpoint import EndpointHandler, EndpointState
 from cassiahaven_standins.platform_fleet import platform_fleet
 from cassiahaven_standins.platform_mixed_endpoint import Spoil
 from cassiahaven_standins.quiet_server import QuietServer
@@ -78,7 +78,9 @@
         self.name = "relay"
         self.log_path = folder / "relay.log"
         self.log_path.touch()
-        handler = type("Handler", (_CarelessRelay,), {"fleet": fleet, "state": _NoRateLimit()})
+        handler = type(
+            "Handler", (_CarelessRelay,), {"fleet": fleet, "state": EndpointState("relay", "")}
+        )
         self._server = QuietServer(("127.0.0.1", 0), handler)
         self.front_port = self._server.server_address[1]
 
@@ -93,10 +95,6 @@
         self._server.server_close()
 
 
-class _NoRateLimit:
-    rate_limit = ""
-
-
 @pytest.mark.parametrize(("spoil", "is_found"), [(Spoil.CUT, True), (Spoil.TWICE, False)])
 def test_rig_finds_a_relay_that_passes_cut_answers_on(tmp_path, spoil, is_found):
     # A rig that finds nothing in any case would show nothing about the entries.
