--- a/packages/cassiahaven-entry/cassiahaven_entry/_connection.py
+++ b/packages/cassiahaven-entry/cassiahaven_entry/_connection.py
@@ -27,6 +27,10 @@
 BODILESS_STATUSES = frozenset({HTTPStatus.NO_CONTENT, HTTPStatus.NOT_MODIFIED})
 
 
+class ResponseWithinHead(HTTPException):
+    """Raised if another response begins within the head of a response."""
+
+
 class _AnswerBytes(io.RawIOBase):
     """Bytes of an answer; raises if the connection ends before the answer does.
 
@@ -136,7 +140,7 @@
         if self.msg.defects or self.msg.get_payload():
             raise HTTPException("malformed headers")
         if any(STATUS_LINE.search(text) for text in (self.reason, *self.msg.values())):
-            raise HTTPException("another response begins within the head")
+            raise ResponseWithinHead("another response begins within the head")
         lengths = self.msg.get_all("content-length", [])
         codings = self.msg.get_all("transfer-encoding", [])
         is_length_malformed = any(not DIGITS.fullmatch(length.strip()) for length in lengths)
@@ -153,7 +157,7 @@
     def _close_conn(self) -> None:
         if not self.fp.closed:
             self._bytes.is_paused = True
-            self._record.surplus_bytes = len(self.fp.peek())
+            self._record.surplus = self.fp.peek()
         super()._close_conn()
 
 
@@ -200,10 +204,11 @@
 class UpstreamSocket(GreenSocket):
     """Raise if the connection was reset or the exchange exceeds its deadline.
 
-    The library reports a reset as the end of the stream, so a truncated answer that ends with its
-    connection would look complete. The system reports a reset only once: after a failed send, the
-    next receives return what had arrived, and then the end of the stream. Timeouts of the library
-    apply to each receive, so an upstream that sends a byte now and then would never hit them.
+    The library reports a reset or a broken pipe as the end of the stream, so a truncated answer
+    that ends with its connection would look complete. The system reports a reset only once: after a
+    failed send, the next receives return what had arrived, and then the end of the stream. Timeouts
+    of the library apply to each receive, so an upstream that sends a byte now and then would never
+    hit them.
 
     Attributes:
         expires_ms: Deadline of the exchange.
@@ -234,7 +239,7 @@
             except BlockingIOError:
                 self._receives_without_yield = 0
                 raise
-            except ConnectionResetError:
+            except (ConnectionResetError, BrokenPipeError):
                 was_reset = True
                 raise
 
@@ -269,6 +274,8 @@
     on_unexpected_bytes: Callable[[bytes], None] | None = None
     _expires_ms = float("inf")
     _exchanges = 0
+    # ``sock`` is ``None`` while an answer is read that closes the connection.
+    _upstream_socket: UpstreamSocket | None = None
 
     def start_exchange(self, record: AnswerRecord) -> None:
         """Record in ``record`` how the next answer is read."""
@@ -288,13 +295,13 @@
     def extend(self, more_ms: float) -> None:
         """Extend the deadline of the exchange, which alone limits each receive from now on."""
         self._expire_at(self._expires_ms + more_ms)
-        if isinstance(self.sock, UpstreamSocket):
-            self.sock.settimeout(None)
+        if self._upstream_socket is not None:
+            self._upstream_socket.settimeout(None)
 
     def _expire_at(self, at_ms: float) -> None:
         self._expires_ms = at_ms
-        if isinstance(self.sock, UpstreamSocket):
-            self.sock.expires_ms = at_ms
+        if self._upstream_socket is not None:
+            self._upstream_socket.expires_ms = at_ms
 
     def _new_conn(self) -> socket.socket:
         opened = super()._new_conn()
@@ -306,6 +313,7 @@
         bounded.first_wrapper = opened
         bounded.settimeout(opened.gettimeout())
         bounded.expires_ms = self._expires_ms
+        self._upstream_socket = bounded
         return bounded
 
     @property
--- a/packages/cassiahaven-entry/cassiahaven_entry/attempts.py
+++ b/packages/cassiahaven-entry/cassiahaven_entry/attempts.py
@@ -7,6 +7,7 @@
 import eventlet
 
 from cassiahaven_core.answer import MAX_KEPT_ANSWER_BYTES, Answer, AnswerMemory
+from cassiahaven_core.closure import MAX_CLOSURE_MS
 from cassiahaven_core.edge import (
     ResponseSignals,
     SendFailed,
@@ -17,9 +18,10 @@
     UpstreamRequest,
     UpstreamTransport,
 )
+from cassiahaven_core.endpoint import CallResult, LoadReport, ProbeFailed
+from cassiahaven_core.endpoint_address import EndpointAddress
 from cassiahaven_core.outcome import NotRun, Outcome, Ran, Unknown
 from cassiahaven_core.peer_message import CrashNotice, DrainNotice, RateLimitNotice
-from cassiahaven_core.pool import CallResult, EndpointAddress, LoadReport, ProbeFailed
 from cassiahaven_core.quarantine import Quarantine
 from cassiahaven_core.reason import RefusalReason, UnknownReason
 from cassiahaven_core.service import Effect, Refuse
@@ -33,6 +35,8 @@
 NOTABLE_WAIT_MS = 5.0  # shorter waits are left out of the explanation
 MOST_PROBES_PER_ATTEMPT = 4  # with a quarter of endpoints slow, four slow in a row are rare
 PROBE_TIMEOUT_MS = 50.0  # many round trips between zones; a slower endpoint is passed over
+HEALTH_CHECK = "health check"
+REFUSAL = "refusal"
 REFUSAL_BY_RESULT = {
     CallResult.CONNECT_FAILED: RefusalReason.CONNECT_FAILED,
     CallResult.REFUSED: RefusalReason.UPSTREAM_REFUSED,
@@ -113,6 +117,12 @@
             if effect.waited_ms >= NOTABLE_WAIT_MS:
                 call.note("waited", f"{effect.waited_ms:.1f} ms for a free slot")
             address = self._choose_endpoint(call, task, effect.address, frozenset(tried))
+            if not task.policy.pool.may_send(address, now_ms()):
+                # It was delisted, closed itself or said that it leaves since the call was assigned.
+                call.note("placed again", f"{address.endpoint} takes no more calls")
+                self._metrics.placed_again.labels(call.service).inc()
+                effect = task.place_again(call.waiting, address.endpoint, frozenset(tried))
+                continue
             tried.add(address.endpoint)
             ended = self._attempt(call, task, address, frozenset(tried))
             result = self._record_result(progress, ended)
@@ -151,6 +161,7 @@
             except BaseException:
                 task.finish(call.waiting, address.endpoint, CallResult.CANCELLED)
                 raise
+            self.apply_probe(task, address, report)
             better = task.apply_probe(call.waiting, address.endpoint, report, tried)
             if better is None:
                 break
@@ -201,7 +212,7 @@
     def _receive(
         self, call: Call, task: ServiceTask, address: EndpointAddress, sent: SendResult
     ) -> Finished | SendFailed:
-        self._apply_signal(call, task, address, sent.signal)
+        self._apply_signal(call, task, address, sent.signal, _kind(sent))
         if isinstance(sent, SendFailed):
             return sent
         parts: list[bytes] = []
@@ -254,6 +265,7 @@
             )
             task.finish(call.waiting, address.endpoint, result)
 
+        call.drop_body()
         outcome = Ran(sent.status, address.endpoint)
         head = Answer(sent.status, sent.headers, b"")
         return Finished(outcome, head, AnswerStream(parts, sent, end), sent.record)
@@ -262,19 +274,60 @@
         self._memory.release(reserved)
 
     def _apply_signal(
-        self, call: Call, task: ServiceTask, address: EndpointAddress, signal: ResponseSignals
+        self,
+        call: Call,
+        task: ServiceTask,
+        address: EndpointAddress,
+        signal: ResponseSignals,
+        kind: str,
     ) -> None:
         if not signal.is_misdirected:
             self._apply_rate_limit(call, task, address, signal)
         if signal.load is not None:
             task.policy.pool.report_load(address.endpoint, signal.load, now_ms())
-        if signal.draining:
-            self._on_drain(
-                DrainNotice(
-                    task.service, address.endpoint, address.incarnation, "upstream's answer"
-                )
+        # What another endpoint at this address says holds for that one only.
+        is_own = not signal.is_misdirected or signal.instance == address.endpoint
+        if signal.draining and is_own:
+            self._record_leaving(task, address, kind, call.call_id)
+
+        if is_own:
+            self._apply_closure(
+                task, address, signal.closed_for_ms, signal.unreadable_closure, call.call_id
             )
 
+    def apply_probe(
+        self, task: ServiceTask, address: EndpointAddress, report: LoadReport | ProbeFailed
+    ) -> None:
+        """Apply what an endpoint said of itself in its answer to a probe."""
+        if report.is_leaving:
+            self._record_leaving(task, address, HEALTH_CHECK)
+        if isinstance(report, ProbeFailed):
+            self._apply_closure(task, address, report.closed_for_ms, report.unreadable_closure)
+
+    def _apply_closure(
+        self,
+        task: ServiceTask,
+        address: EndpointAddress,
+        asked_ms: float | None,
+        unreadable: str | None,
+        call_id: str | None = None,
+    ) -> None:
+        if unreadable is not None:
+            self._metrics.unusable_closures.labels(task.service, "ignored").inc()
+            task.record_unreadable_closure(address, unreadable, call_id)
+        if asked_ms is None:
+            return
+        self._metrics.closures.labels(task.service).inc()
+        if asked_ms > MAX_CLOSURE_MS:
+            self._metrics.unusable_closures.labels(task.service, "shortened").inc()
+        task.close_endpoint(address, asked_ms, call_id)
+
+    def _record_leaving(
+        self, task: ServiceTask, address: EndpointAddress, source: str, call_id: str | None = None
+    ) -> None:
+        task.record_leaving(address, source, call_id)
+        self._on_drain(DrainNotice(task.service, address.endpoint, address.incarnation, source))
+
     def _apply_rate_limit(
         self, call: Call, task: ServiceTask, address: EndpointAddress, signal: ResponseSignals
     ) -> None:
@@ -325,6 +378,12 @@
     return f"slowed {report.slowdown:.1f} times"
 
 
+def _kind(sent: SendResult) -> str:
+    if isinstance(sent, SendFailed):
+        return REFUSAL if sent.result is CallResult.REFUSED else "discarded answer"
+    return "failure" if sent.status in SERVER_ERROR_STATUSES else "answer"
+
+
 def _is_server_error(finished: Finished) -> bool:
     return finished.answer is not None and finished.answer.status in SERVER_ERROR_STATUSES
 
--- a/packages/cassiahaven-entry/cassiahaven_entry/call.py
+++ b/packages/cassiahaven-entry/cassiahaven_entry/call.py
@@ -2,15 +2,15 @@
 
 import time
 from collections.abc import Callable, Iterator
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 from cassiahaven_core.admission import WaitingCall
 from cassiahaven_core.answer import Answer
 from cassiahaven_core.answer_record import AnswerRecord
 from cassiahaven_core.edge import CallRequest, TransferBroken, UpstreamAnswer
+from cassiahaven_core.endpoint import CallResult
 from cassiahaven_core.explanation import Explanation, Step
 from cassiahaven_core.outcome import Outcome
-from cassiahaven_core.pool import CallResult
 from cassiahaven_core.quarantine import request_fingerprint
 from cassiahaven_core.settings import ServiceSettings
 from cassiahaven_entry.clock import now_ms
@@ -53,6 +53,10 @@
         """Return the partner that sent the call."""
         return self.waiting.partner
 
+    def drop_body(self) -> None:
+        """Drop the request's body, which no further attempt needs."""
+        self.request = replace(self.request, body=b"")
+
     def note(self, what: str, detail: str = "") -> None:
         """Add a step to the explanation."""
         at_ms = round(now_ms() - self.waiting.arrived_ms, 3)
--- a/packages/cassiahaven-entry/cassiahaven_entry/caller_connection.py
+++ b/packages/cassiahaven-entry/cassiahaven_entry/caller_connection.py
@@ -255,6 +255,7 @@
         self._reader: greenlet | None = None
         self._room: Event | None = None
         self._used_ms = now_ms()
+        self._is_reading_body = False
 
     @property
     def idle_timeout_s(self) -> float:
@@ -262,7 +263,12 @@
         return self._frontend.idle_timeout_s
 
     def is_in_use(self) -> bool:
-        """Return whether an answer is due, or was sent within the idle timeout."""
+        """Return whether an answer is due, or was sent within the idle timeout.
+
+        While a body is read, the caller is the one that has to send.
+        """
+        if self._is_reading_body:
+            return False
         is_recent = now_ms() - self._used_ms < self.idle_timeout_s * MS_PER_S
         return not self.pipeline.is_empty or is_recent
 
@@ -303,7 +309,11 @@
         eventlet.spawn_n(exchange.run)
         has_body = self.environ.get("CONTENT_LENGTH", "0") != "0"
         if has_known_end and (has_body or "HTTP_TRANSFER_ENCODING" in self.environ):
-            exchange.await_body()
+            self._is_reading_body = True
+            try:
+                exchange.await_body()
+            finally:
+                self._is_reading_body = False
         else:
             exchange.record_body(0)
 
@@ -427,9 +437,12 @@
     """Return whether the headers tell where a request ends.
 
     The library drops headers behind a malformed line, uses the first of several lengths, and takes
-    a body in an unknown transfer coding for further requests.
+    a body in an unknown transfer coding for further requests. A request that is cut off within its
+    head, and followed by another one, looks like one request with two hosts.
     """
-    if headers.defects or any(name != name.strip() for name in headers):
+    if headers.defects or headers.get_payload() or any(name != name.strip() for name in headers):
+        return False
+    if len(headers.get_all("host", [])) > 1:
         return False
     lengths = headers.get_all("content-length", [])
     codings = headers.get_all("transfer-encoding", [])
--- a/packages/cassiahaven-entry/cassiahaven_entry/http_transport.py
+++ b/packages/cassiahaven-entry/cassiahaven_entry/http_transport.py
@@ -19,6 +19,7 @@
 
 from cassiahaven_core.answer_record import AnswerRecord, Framing
 from cassiahaven_core.edge import (
+    ResponseSignals,
     SendFailed,
     SendResult,
     TransferBroken,
@@ -27,10 +28,17 @@
     UpstreamRequest,
     UpstreamTransport,
 )
-from cassiahaven_core.pool import CallResult, EndpointAddress, LoadReport, ProbeFailed
-from cassiahaven_entry._connection import BODILESS_STATUSES, PeekingConnection, WholeResponsePool
+from cassiahaven_core.endpoint import CallResult, LoadReport, ProbeFailed
+from cassiahaven_core.endpoint_address import EndpointAddress
+from cassiahaven_entry._connection import (
+    BODILESS_STATUSES,
+    PeekingConnection,
+    ResponseWithinHead,
+    WholeResponsePool,
+)
 from cassiahaven_entry.event import LogEvent, log
 from cassiahaven_entry.metrics import Metrics
+from cassiahaven_entry.repeated_answer import RepeatedAnswer
 
 CONNECT_TIMEOUT_S = 0.5
 DOWN_CHECK_TIMEOUT_S = 0.1  # a dying process closes its sockets sooner, even on a busy machine
@@ -69,6 +77,7 @@
     IDLE_CONNECTION = "idle connection"  # found when a call was about to use the connection
     BEHIND_ANSWER = "behind an answer"
     IN_PLACE_OF_ANSWER = "in place of an answer"  # a response that names another request
+    WITHIN_HEAD = "within a head"  # a response cut off in its head, and then another one
 
 
 class _CallHeaders(urllib3.HTTPHeaderDict):
@@ -169,6 +178,7 @@
             result = CallResult.UNANSWERED if is_impatient else CallResult.TIMEOUT
             return SendFailed(result, str(error), record=record)
         except (HTTPError, OSError) as error:
+            self._report_mixed_head(address, error, record, request.request_id)
             return SendFailed(CallResult.CONNECTION_LOST, str(error), record=record)
         record.framing, record.declared_bytes = _framing(request, response)
         return self._answer(address, request, response, timeout_ms - head_ms, record)
@@ -191,6 +201,7 @@
                 decode_content=False,
             )
         except (HTTPError, OSError) as error:
+            self._report_mixed_head(address, error, record, None)
             return ProbeFailed(f"{type(error).__name__}: {error}")
         value_by_name = _value_by_name(response)
         named = self._dialect.read_head(response.status, value_by_name, None).request_id
@@ -257,7 +268,14 @@
                     answer=record.to_plain(),
                 )
             detail = "answer belongs to another call"
-            return SendFailed(CallResult.CONNECTION_LOST, detail, record=record)
+            told = ResponseSignals(
+                draining=signal.draining,
+                is_misdirected=signal.is_misdirected,
+                instance=signal.instance,
+                closed_for_ms=signal.closed_for_ms,
+                unreadable_closure=signal.unreadable_closure,
+            )
+            return SendFailed(CallResult.CONNECTION_LOST, detail, told, record)
         if signal.not_run:
             _discard(response)
             self._report_surplus(address, record, request.request_id)
@@ -269,25 +287,29 @@
             # A complete answer could not be told from a truncated one.
             response.close()
             return SendFailed(CallResult.CONNECTION_LOST, "answer without a length", record=record)
+        dropped = HOP_BY_HOP
+        if response.status == HTTPStatus.NO_CONTENT:
+            dropped = HOP_BY_HOP | {"content-length"}
         headers = tuple(
-            (name, value)
-            for name, value in response.headers.items()
-            if name.lower() not in HOP_BY_HOP
+            (name, value) for name, value in response.headers.items() if name.lower() not in dropped
         )
         if response.connection is not None:
             response.connection.extend(left_ms + BODY_GRACE_MS)
-        body = self._parts(address, request, response, record)
+        body = self._parts(address, request.request_id, response, record)
         return UpstreamAnswer(response.status, headers, body, response.close, signal, record)
 
     def _parts(
         self,
         address: EndpointAddress,
-        request: UpstreamRequest,
+        request_id: str | None,
         response: urllib3.BaseHTTPResponse,
         record: AnswerRecord,
     ) -> Iterator[bytes]:
+        repeated = RepeatedAnswer(request_id) if request_id else None
         try:
             for part in _read(response):
+                if repeated is not None and repeated.begins_in(part, record.surplus):
+                    raise HTTPError("the answer begins again within its body")
                 record.body_bytes += len(part)
                 yield part
         except (HTTPError, OSError) as error:
@@ -296,7 +318,7 @@
         else:
             response.release_conn()
             record.is_whole = True
-            self._report_surplus(address, record, request.request_id)
+            self._report_surplus(address, record, request_id)
         finally:
             self._count(record)
 
@@ -305,6 +327,21 @@
         labels = (record.framing.value, record.connection.value, end)
         self._metrics.answers.labels(*labels).inc()
 
+    def _report_mixed_head(
+        self,
+        address: EndpointAddress,
+        error: Exception,
+        record: AnswerRecord,
+        request_id: str | None,
+    ) -> None:
+        if any(isinstance(cause, ResponseWithinHead) for cause in error.args):
+            self._report_unexpected(
+                address,
+                UnexpectedPlace.WITHIN_HEAD,
+                request=request_id,
+                answer=record.to_plain(),
+            )
+
     def _report_surplus(
         self, address: EndpointAddress, record: AnswerRecord, request_id: str | None
     ) -> None:
--- a/packages/cassiahaven-entry/cassiahaven_entry/metrics.py
+++ b/packages/cassiahaven-entry/cassiahaven_entry/metrics.py
@@ -68,6 +68,12 @@
         self.unexpected_bytes = self._counter(
             "unexpected_bytes", "Bytes of upstreams that no call was waiting for", "place"
         )
+        self.request_bodies_rejected = self._counter(
+            "request_bodies_rejected", "Request bodies that did not fit into memory", "size"
+        )
+        self.request_body_bytes = self._gauge(
+            "request_body_bytes", "Memory reserved for request bodies"
+        )
         self.peer_rejections = self._counter("peer_rejections", "Peers turned away", "reason")
         self.operator_rejections = self._counter(
             "operator_rejections", "Operator requests turned away", "reason"
@@ -77,6 +83,24 @@
         self.kept_endpoints = self._gauge(
             "kept_endpoints", "Endpoints in use though their registration is gone"
         )
+        self.leaving_endpoints = self._gauge(
+            "leaving_endpoints", "Starts of endpoints that said in an answer that they leave"
+        )
+        self.closures = self._counter(
+            "closures", "Answers in which endpoints wanted no requests for a time", "service"
+        )
+        self.unusable_closures = self._counter(
+            "unusable_closures",
+            "Such times that were ignored or shortened",
+            "service",
+            "handling",
+        )
+        self.closed_endpoints = self._gauge(
+            "closed_endpoints", "Endpoints that want no requests for a time"
+        )
+        self.placed_again = self._counter(
+            "placed_again", "Calls not sent, as their endpoint took no more calls", "service"
+        )
         self.calls_to_rate_limited = self._counter(
             "calls_to_rate_limited", "Calls sent to endpoints that name a rate limit", "service"
         )
--- a/packages/cassiahaven-entry/cassiahaven_entry/routed_node.py
+++ b/packages/cassiahaven-entry/cassiahaven_entry/routed_node.py
@@ -8,18 +8,18 @@
 from eventlet.greenthread import GreenThread
 
 from cassiahaven_core.edge import CallResponse, StoreUnavailable, Topic
+from cassiahaven_core.endpoint_address import EndpointAddress
 from cassiahaven_core.finding import InvalidDocument
 from cassiahaven_core.membership import Fleet, Member
 from cassiahaven_core.peer_message import (
     CrashNotice,
-    DrainNotice,
     RateLimitNotice,
     TableRows,
     WatcherReport,
 )
-from cassiahaven_core.pool import EndpointAddress
 from cassiahaven_core.quarantine import Quarantine
 from cassiahaven_core.registry import Registration
+from cassiahaven_core.request_memory import RequestMemory
 from cassiahaven_core.retry import RetryLimits
 from cassiahaven_core.route import GatewayConfig, RoutingTable
 from cassiahaven_core.routed_settings import RoutedSettings, SocketAddress
@@ -119,6 +119,18 @@
                 task.policy.pool.rate_limited_endpoints() for task in self._task_by_service.values()
             )
         )
+        self.metrics.leaving_endpoints.set_function(
+            lambda: sum(
+                len(task.policy.pool.leaving.leaving_by_start)
+                for task in self._task_by_service.values()
+            )
+        )
+        self.metrics.closed_endpoints.set_function(
+            lambda: sum(
+                task.policy.pool.closed_endpoints(now_ms())
+                for task in self._task_by_service.values()
+            )
+        )
         self.metrics.kept_endpoints.set_function(lambda: len(self.view.registry.kept_endpoints))
         state = LinkCallbacks(
             report=self._report,
@@ -149,12 +161,12 @@
         callers = self._adapter.make_caller_dialect(self.routing)
         self.quarantine = Quarantine()
         self.transport = HttpTransport(dialect, metrics=self.metrics)
-        attempts = AttemptRunner(
+        self._attempts = AttemptRunner(
             self.transport,
             dialect,
             self.quarantine,
             metrics=self.metrics,
-            on_drain=self._on_drain,
+            on_drain=lambda notice: None,  # each entry learns it from its own answers
             on_crash=self._on_suspected_crash,
             on_rate_limit=self.links.publish_rate_limit,
         )
@@ -162,12 +174,18 @@
             self.process,
             self.routing,
             self.task,
-            attempts,
+            self._attempts,
             callers,
             metrics=self.metrics,
         )
         caller_address = self.settings.callers
-        self.frontend = HttpFrontend(caller_address.host, caller_address.port, dialect=callers)
+        self.frontend = HttpFrontend(
+            caller_address.host,
+            caller_address.port,
+            dialect=callers,
+            memory=RequestMemory(self.settings.memory_bytes),
+            metrics=self.metrics,
+        )
         self.auxiliary_servers = [
             AuxiliaryServer(
                 self.settings.readiness,
@@ -365,11 +383,6 @@
             window_ms=self.settings.retry_window_ms,
         )
 
-    def _on_drain(self, notice: DrainNotice) -> None:
-        task = self._task_by_service.get(notice.service)
-        if task is not None:
-            task.drain(notice.endpoint, notice.incarnation, notice.reason)
-
     def _on_suspected_crash(self, notice: CrashNotice) -> None:
         # Responses are lost frequently at times, so publish only confirmed crashes.
         if not notice.is_retracted:
@@ -466,6 +479,7 @@
     def _try_endpoint(self, task: ServiceTask, address: EndpointAddress) -> None:
         self.metrics.probes.labels(task.service).inc()
         report = self.transport.probe(address, task.health_path, PROBE_TIMEOUT_MS)
+        self._attempts.apply_probe(task, address, report)
         task.finish_probe_trial(address.endpoint, report)
 
 
--- a/packages/cassiahaven-entry/cassiahaven_entry/service_task.py
+++ b/packages/cassiahaven-entry/cassiahaven_entry/service_task.py
@@ -5,16 +5,13 @@
 from eventlet.event import Event
 
 from cassiahaven_core.admission import Admission, WaitingCall
+from cassiahaven_core.closure import MAX_CLOSURE_MS
+from cassiahaven_core.endpoint import CallResult, LoadReport, ProbeFailed
+from cassiahaven_core.endpoint_address import EndpointAddress
+from cassiahaven_core.endpoint_gate import SlotShare
 from cassiahaven_core.lifecycle import EndpointEvent, EndpointStatus
 from cassiahaven_core.peer_message import RateLimitNotice
-from cassiahaven_core.pool import (
-    CallResult,
-    EndpointAddress,
-    LoadReport,
-    Pool,
-    ProbeFailed,
-    SlotShare,
-)
+from cassiahaven_core.pool import Pool
 from cassiahaven_core.rate_limit import NOTABLE_CHANGE, UNLIMITED, ShareHistory
 from cassiahaven_core.reason import RefusalReason, RetryReason
 from cassiahaven_core.service import Dispatch, Effect, Refuse, ServicePolicy
@@ -24,6 +21,8 @@
 
 DEMAND_SMOOTHING = 0.3
 MAX_LOGGED_TEXT = 100
+MAX_LOGGED_MS = 1e12
+NOTABLE_CLOSURE_MS = 1000.0
 
 
 class ServiceTask:
@@ -97,7 +96,8 @@
             addresses: All endpoints of the service.
             draining: Names of the endpoints that are draining.
         """
-        self.policy.pool.set_endpoints(addresses, now_ms())
+        for address in self.policy.pool.set_endpoints(addresses, now_ms()):
+            self._log_upheld(address)
         for name in draining:
             self.handle(name, EndpointEvent.DRAIN, "registration")
         self._apply_operator_drains()
@@ -137,6 +137,86 @@
             return False
         return self.handle(endpoint, EndpointEvent.DRAIN, reason)
 
+    def record_leaving(
+        self, address: EndpointAddress, source: str, call_id: str | None = None
+    ) -> bool:
+        """Record that an endpoint said that it leaves; return whether that is news.
+
+        Args:
+            address: The endpoint and the start of it that said so.
+            source: Kind of answer in which it said so.
+            call_id: The call that was answered, ``None`` for a probe.
+        """
+        before = self._status_of(address.endpoint)
+        is_first = self.policy.pool.record_leaving(
+            address.endpoint, address.incarnation, source, now_ms()
+        )
+        if is_first:
+            log(
+                LogEvent.ENDPOINT_LEAVING,
+                service=self.service,
+                endpoint=address.endpoint,
+                incarnation=address.incarnation,
+                source=source,
+                call=call_id,
+            )
+        self._log_status(address.endpoint, before)
+        return is_first
+
+    def close_endpoint(
+        self, address: EndpointAddress, asked_ms: float, call_id: str | None = None
+    ) -> None:
+        """Apply that an endpoint wants no requests from this entry for a time.
+
+        Args:
+            address: The endpoint and the start of it that said so.
+            asked_ms: The time that it asked for.
+            call_id: The call that was answered, ``None`` for a probe.
+        """
+        left_ms = self.policy.pool.close_endpoint(
+            address.endpoint, address.incarnation, asked_ms, now_ms()
+        )
+        if left_ms is None:
+            return
+        # Calls that were sent together are turned away together.
+        closed_ms = min(asked_ms, MAX_CLOSURE_MS)
+        if not left_ms or abs(closed_ms - left_ms) >= NOTABLE_CLOSURE_MS:
+            log(
+                LogEvent.ENDPOINT_CLOSED,
+                service=self.service,
+                endpoint=address.endpoint,
+                incarnation=address.incarnation,
+                call=call_id,
+                asked_ms=round(min(asked_ms, MAX_LOGGED_MS)),
+                closed_ms=round(closed_ms),
+                left_ms=round(left_ms),
+            )
+        if self.policy.admission.waiting:
+            self.tick()
+
+    def record_unreadable_closure(
+        self, address: EndpointAddress, text: str, call_id: str | None = None
+    ) -> None:
+        """Log a closure that cannot be read, once while its text stays the same."""
+        known = self.policy.pool.endpoint_by_id.get(address.endpoint)
+        if known is None or known.gate.unreadable_closure == text:
+            return
+        known.gate.unreadable_closure = text
+        log(
+            LogEvent.CLOSURE_UNREADABLE,
+            service=self.service,
+            endpoint=address.endpoint,
+            call=call_id,
+            text=text[:MAX_LOGGED_TEXT],
+        )
+
+    def place_again(self, call: WaitingCall, endpoint: str, tried: frozenset[str]) -> Effect:
+        """Wait until a call that was assigned to an endpoint, but not sent, may be sent again."""
+        before = self._status_of(endpoint)
+        effects = self.policy.place_again(call, endpoint, tried, now_ms())
+        self._log_status(endpoint, before)
+        return self._wait(call, effects)
+
     def handle(self, endpoint: str, event: EndpointEvent, reason: str) -> bool:
         """Apply a lifecycle event and return whether it changed the endpoint's status."""
         before = self._status_of(endpoint)
@@ -159,11 +239,11 @@
         if before is not None:
             self._log_rate_limit(endpoint, before, rate_per_s, call=call_id)
         is_news = before is not None and _is_notable(before, rate_per_s)
-        is_due = known.rate_limit is not None and known.rate_limit.announce(now_ms())
+        is_due = known.gate.rate_limit is not None and known.gate.rate_limit.announce(now_ms())
         if not is_news and not is_due:
             return None
         return RateLimitNotice(
-            self.service, endpoint, known.address.incarnation, _finite(known.rate_limit_per_s)
+            self.service, endpoint, known.address.incarnation, _finite(known.gate.rate_limit_per_s)
         )
 
     def apply_rate_limit_notice(self, notice: RateLimitNotice) -> None:
@@ -190,9 +270,9 @@
     def record_unreadable_rate_limit(self, endpoint: str, call_id: str, text: str) -> None:
         """Log a rate limit that cannot be read, once while its text stays the same."""
         known = self.policy.pool.endpoint_by_id.get(endpoint)
-        if known is None or known.unreadable_rate_limit == text:
+        if known is None or known.gate.unreadable_rate_limit == text:
             return
-        known.unreadable_rate_limit = text
+        known.gate.unreadable_rate_limit = text
         log(
             LogEvent.RATE_LIMIT_UNREADABLE,
             service=self.service,
@@ -269,6 +349,18 @@
             if event is not None:
                 event.send(effect)
 
+    def _log_upheld(self, address: EndpointAddress) -> None:
+        leaving = self.policy.pool.leaving.find(address.endpoint, address.incarnation)
+        if leaving is not None:
+            log(
+                LogEvent.ENDPOINT_LEAVING_UPHELD,
+                service=self.service,
+                endpoint=address.endpoint,
+                incarnation=address.incarnation,
+                source=leaving.source,
+                age_ms=round(now_ms() - leaving.learned_ms),
+            )
+
     def _status_of(self, endpoint: str) -> str | None:
         known = self.policy.pool.endpoint_by_id.get(endpoint)
         return known.status.value if known is not None else None
--- a/tests/test_platform_translation.py
+++ b/tests/test_platform_translation.py
@@ -14,6 +14,7 @@
 from cassiahaven_core.finding import InvalidDocument
 from cassiahaven_core.outcome import NotRun, Unknown
 from cassiahaven_core.reason import RefusalReason, UnknownReason
+from cassiahaven_core.request_memory import DEFAULT_PROCESS_BYTES
 from cassiahaven_core.route import RoutingTable
 from cassiahaven_entry.caller_dialect import RequestRejected
 from cassiahaven_platform.dialects import (
@@ -126,6 +127,21 @@
     assert settings.address_lifetime_ms <= 5000
     assert (settings.retry_share, settings.retry_slack) == (0.2, 60)
     assert settings.cores == pytest.approx(2.151)
+    assert settings.memory_bytes == DEFAULT_PROCESS_BYTES
+
+
+def test_memory_limit_is_decoded(write_settings):
+    # An entry that took itself for larger than it is would outgrow its memory.
+    limits = SETTINGS["limits"] | {"memoryMb": 200}
+    settings = read_settings(write_settings(SETTINGS | {"limits": limits}))
+    assert settings.memory_bytes == 209_715_200
+
+
+@pytest.mark.parametrize("limits", [[], {"memoryMb": "much"}, {"memoryMb": None}])
+def test_unreadable_memory_limit_is_reported(write_settings, limits):
+    with pytest.raises(InvalidDocument) as caught:
+        read_settings(write_settings(SETTINGS | {"limits": limits}))
+    assert any("limits" in finding.path for finding in caught.value.findings)
 
 
 def test_all_faults_of_settings_are_reported_together(write_settings):
@@ -356,7 +372,7 @@
 
 
 WIRE_NAMES = re.compile(
-    r"Target-Instance|Not-Executed|Response-Signature|Deadline-Ms|Server-Load|pathPrefix"
+    r"Target-Instance|Not-Executed|Response-Signature|Deadline-Ms|Server-Load|Server-Leaving|pathPrefix"
     r"|trafficSplit|targetLatency|maxAttempts|coldRemaining|storeRevision|staleOk|waitMs"
     r"|healthPath|maxConnections|budgetRatio|internalPorts|/cassiahaven/",
     re.IGNORECASE,
@@ -406,3 +422,52 @@
 )
 def test_only_a_success_without_a_rate_limit_ends_it(status, headers, rate_per_s):
     assert head(status, **headers).rate_limit_per_s == rate_per_s
+
+
+@pytest.mark.parametrize(
+    ("status", "headers"),
+    [
+        (200, {"Response_Signature": "s"}),
+        (500, {}),
+        (503, {"Not_Executed": "1"}),
+        (429, {"Not_Executed": "1"}),
+        (421, {"Instance_Id": "i-1"}),
+        (503, {}),  # not proven to be the endpoint's own refusal, yet it says what it says
+    ],
+)
+def test_answer_of_any_kind_tells_that_its_endpoint_leaves(status, headers):
+    assert head(status, Server_Leaving="1", **headers).draining
+    assert not head(status, **headers).draining
+    assert not head(status, Server_Leaving="0", **headers).draining
+
+
+def test_answer_of_another_endpoint_names_it():
+    assert head(421, Instance_Id="i-9", Server_Leaving="1").instance == "i-9"
+
+
+def test_health_check_tells_that_its_endpoint_leaves():
+    dialect = PlatformUpstreams()
+    leaving = {"server-leaving": "1", "instance-id": "i-1"}
+    assert dialect.read_health(200, leaving, "i-1").is_leaving
+    assert dialect.read_health(503, leaving, "i-1").is_leaving
+    assert not dialect.read_health(200, {"instance-id": "i-1"}, "i-1").is_leaving
+    # Another endpoint answers at this address.
+    assert not dialect.read_health(503, leaving, "i-2").is_leaving
+
+
+@pytest.mark.parametrize(
+    ("status", "text", "closed_for_ms", "unreadable"),
+    [
+        (503, "1.5", 1500.0, None),
+        (503, "soon", None, "soon"),
+        (503, "-1", None, "-1"),
+        (429, "2", None, None),  # only a 503 closes its endpoint
+        (200, "2", None, None),
+    ],
+)
+def test_only_a_503_with_a_number_closes_its_endpoint(status, text, closed_for_ms, unreadable):
+    signal = head(status, Retry_After=text, Not_Executed="1")
+    assert (signal.closed_for_ms, signal.unreadable_closure) == (closed_for_ms, unreadable)
+    if status != 200:
+        report = PlatformUpstreams().read_health(status, {"retry-after": text}, "i-1")
+        assert (report.closed_for_ms, report.unreadable_closure) == (closed_for_ms, unreadable)
