--- a/packages/cassiahaven-core/cassiahaven_core/edge.py
+++ b/packages/cassiahaven-core/cassiahaven_core/edge.py
@@ -7,8 +7,9 @@
 from typing import TypeAlias
 
 from cassiahaven_core.answer_record import AnswerRecord
+from cassiahaven_core.endpoint import CallResult, LoadReport, ProbeFailed
+from cassiahaven_core.endpoint_address import EndpointAddress
 from cassiahaven_core.membership import Member
-from cassiahaven_core.pool import CallResult, EndpointAddress, LoadReport, ProbeFailed
 from cassiahaven_core.registry import Registration
 from cassiahaven_core.request_memory import Body
 from cassiahaven_core.route import GatewayConfig
@@ -209,7 +210,7 @@
 
     Attributes:
         load: Load of the endpoint, ``None`` if not reported.
-        draining: Whether the endpoint is draining and wants no new calls.
+        draining: Whether the endpoint that answered leaves and wants no new calls.
         not_run: Whether the endpoint states that it did not run the call.
         is_misdirected: Whether another endpoint answered at this address.
         is_genuine: Whether the response is the endpoint's own and belongs to this call.
@@ -217,6 +218,9 @@
         rate_limit_per_s: Calls a second that the endpoint takes from all entries together, infinite
             if it names no limit, ``None`` if the response does not tell.
         unreadable_rate_limit: Text of a rate limit that cannot be read, ``None`` otherwise.
+        instance: Name of the endpoint that answered, ``None`` if the response does not tell.
+        closed_for_ms: Time for which it wants no requests, ``None`` if it does not say.
+        unreadable_closure: Text of such a time that cannot be read, ``None`` otherwise.
     """
 
     load: LoadReport | None = None
@@ -227,6 +231,9 @@
     request_id: str | None = None
     rate_limit_per_s: float | None = None
     unreadable_rate_limit: str | None = None
+    instance: str | None = None
+    closed_for_ms: float | None = None
+    unreadable_closure: str | None = None
 
 
 class UpstreamDialect(ABC):
--- a/packages/cassiahaven-entry/cassiahaven_entry/http_transport.py
+++ b/packages/cassiahaven-entry/cassiahaven_entry/http_transport.py
@@ -19,6 +19,7 @@
 
 from cassiahaven_core.answer_record import AnswerRecord, Framing
 from cassiahaven_core.edge import (
+    ResponseSignals,
     SendFailed,
     SendResult,
     TransferBroken,
@@ -27,10 +28,17 @@
     UpstreamRequest,
     UpstreamTransport,
 )
-from cassiahaven_core.pool import CallResult, EndpointAddress, LoadReport, ProbeFailed
-from cassiahaven_entry._connection import PeekingConnection
+from cassiahaven_core.endpoint import CallResult, LoadReport, ProbeFailed
+from cassiahaven_core.endpoint_address import EndpointAddress
+from cassiahaven_entry._connection import (
+    BODILESS_STATUSES,
+    PeekingConnection,
+    ResponseWithinHead,
+    WholeResponsePool,
+)
 from cassiahaven_entry.event import LogEvent, log
 from cassiahaven_entry.metrics import Metrics
+from cassiahaven_entry.repeated_answer import RepeatedAnswer
 
 CONNECT_TIMEOUT_S = 0.5
 DOWN_CHECK_TIMEOUT_S = 0.1  # a dying process closes its sockets sooner, even on a busy machine
@@ -41,7 +49,6 @@
 DISCARD_TIMEOUT_MS = 20.0  # a short body arrives together with its headers
 MOST_POOLED_CONNECTIONS = 32
 MS_PER_S = 1000.0
-BODILESS_STATUSES = frozenset({204, 304})
 HOP_BY_HOP = frozenset(
     {
         "connection",
@@ -70,6 +77,7 @@
     IDLE_CONNECTION = "idle connection"  # found when a call was about to use the connection
     BEHIND_ANSWER = "behind an answer"
     IN_PLACE_OF_ANSWER = "in place of an answer"  # a response that names another request
+    WITHIN_HEAD = "within a head"  # a response cut off in its head, and then another one
 
 
 class _CallHeaders(urllib3.HTTPHeaderDict):
@@ -88,7 +96,7 @@
         return copied
 
 
-class _ConnectionPool(urllib3.HTTPConnectionPool):
+class _ConnectionPool(WholeResponsePool):
     ConnectionCls = PeekingConnection
     on_unexpected_bytes: Callable[[bytes], None] | None = None
 
@@ -170,6 +178,7 @@
             result = CallResult.UNANSWERED if is_impatient else CallResult.TIMEOUT
             return SendFailed(result, str(error), record=record)
         except (HTTPError, OSError) as error:
+            self._report_mixed_head(address, error, record, request.request_id)
             return SendFailed(CallResult.CONNECTION_LOST, str(error), record=record)
         record.framing, record.declared_bytes = _framing(request, response)
         return self._answer(address, request, response, timeout_ms - head_ms, record)
@@ -179,11 +188,12 @@
     ) -> LoadReport | ProbeFailed:
         """Request an endpoint's health path and return the load that it reports."""
         request = UpstreamRequest("GET", path, (), b"", True)
+        record = AnswerRecord()
         try:
             response = self._pool(address).urlopen(
                 request.method,
                 path,
-                headers=_headers(request, AnswerRecord()),
+                headers=_headers(request, record),
                 retries=False,
                 redirect=False,
                 timeout=urllib3.Timeout(total=timeout_ms / MS_PER_S),
@@ -191,9 +201,22 @@
                 decode_content=False,
             )
         except (HTTPError, OSError) as error:
+            self._report_mixed_head(address, error, record, None)
             return ProbeFailed(f"{type(error).__name__}: {error}")
+        value_by_name = _value_by_name(response)
+        named = self._dialect.read_head(response.status, value_by_name, None).request_id
+        if named is not None:
+            response.close()
+            self._report_unexpected(
+                address,
+                UnexpectedPlace.IN_PLACE_OF_ANSWER,
+                named=named,
+                status=response.status,
+                answer=record.to_plain(),
+            )
+            return ProbeFailed("answer belongs to a call")
         _discard(response)
-        value_by_name = {name.lower(): value for name, value in response.headers.items()}
+        self._report_surplus(address, record, None)
         return self._dialect.read_health(response.status, value_by_name, address.endpoint)
 
     def is_down(self, address: EndpointAddress) -> bool:
@@ -227,7 +250,7 @@
         left_ms: float,
         record: AnswerRecord,
     ) -> SendResult:
-        value_by_name = {name.lower(): value for name, value in response.headers.items()}
+        value_by_name = _value_by_name(response)
         if response.status < HTTPStatus.OK:
             response.close()
             detail = f"interim status {response.status}"
@@ -245,9 +268,17 @@
                     answer=record.to_plain(),
                 )
             detail = "answer belongs to another call"
-            return SendFailed(CallResult.CONNECTION_LOST, detail, record=record)
+            told = ResponseSignals(
+                draining=signal.draining,
+                is_misdirected=signal.is_misdirected,
+                instance=signal.instance,
+                closed_for_ms=signal.closed_for_ms,
+                unreadable_closure=signal.unreadable_closure,
+            )
+            return SendFailed(CallResult.CONNECTION_LOST, detail, told, record)
         if signal.not_run:
             _discard(response)
+            self._report_surplus(address, record, request.request_id)
             result = CallResult.REPLACED if signal.is_misdirected else CallResult.REFUSED
             return SendFailed(result, f"status {response.status}", signal, record)
         if not self._dialect.accepts_unframed and not _has_known_end(
@@ -256,10 +287,11 @@
             # A complete answer could not be told from a truncated one.
             response.close()
             return SendFailed(CallResult.CONNECTION_LOST, "answer without a length", record=record)
+        dropped = HOP_BY_HOP
+        if response.status == HTTPStatus.NO_CONTENT:
+            dropped = HOP_BY_HOP | {"content-length"}
         headers = tuple(
-            (name, value)
-            for name, value in response.headers.items()
-            if name.lower() not in HOP_BY_HOP
+            (name, value) for name, value in response.headers.items() if name.lower() not in dropped
         )
         if response.connection is not None:
             response.connection.extend(left_ms + BODY_GRACE_MS)
@@ -273,8 +305,11 @@
         response: urllib3.BaseHTTPResponse,
         record: AnswerRecord,
     ) -> Iterator[bytes]:
+        repeated = RepeatedAnswer(request_id) if request_id else None
         try:
             for part in _read(response):
+                if repeated is not None and repeated.begins_in(part, record.surplus):
+                    raise HTTPError("the answer begins again within its body")
                 record.body_bytes += len(part)
                 yield part
         except (HTTPError, OSError) as error:
@@ -283,13 +318,7 @@
         else:
             response.release_conn()
             record.is_whole = True
-            if record.surplus_bytes:
-                self._report_unexpected(
-                    address,
-                    UnexpectedPlace.BEHIND_ANSWER,
-                    request=request_id,
-                    answer=record.to_plain(),
-                )
+            self._report_surplus(address, record, request_id)
         finally:
             self._count(record)
 
@@ -298,6 +327,32 @@
         labels = (record.framing.value, record.connection.value, end)
         self._metrics.answers.labels(*labels).inc()
 
+    def _report_mixed_head(
+        self,
+        address: EndpointAddress,
+        error: Exception,
+        record: AnswerRecord,
+        request_id: str | None,
+    ) -> None:
+        if any(isinstance(cause, ResponseWithinHead) for cause in error.args):
+            self._report_unexpected(
+                address,
+                UnexpectedPlace.WITHIN_HEAD,
+                request=request_id,
+                answer=record.to_plain(),
+            )
+
+    def _report_surplus(
+        self, address: EndpointAddress, record: AnswerRecord, request_id: str | None
+    ) -> None:
+        if record.surplus_bytes:
+            self._report_unexpected(
+                address,
+                UnexpectedPlace.BEHIND_ANSWER,
+                request=request_id,
+                answer=record.to_plain(),
+            )
+
     def _report_unexpected(
         self, address: EndpointAddress, place: UnexpectedPlace, **fields: Any
     ) -> None:
@@ -347,6 +402,10 @@
     return headers
 
 
+def _value_by_name(response: urllib3.BaseHTTPResponse) -> dict[str, str]:
+    return {name.lower(): value for name, value in response.headers.items()}
+
+
 def _discard(response: urllib3.BaseHTTPResponse) -> None:
     """Drain a short body so that its connection can be reused; close the connection otherwise."""
     length = response.headers.get("Content-Length", "")
--- a/packages/cassiahaven-standins/cassiahaven_standins/platform_endpoint.py
+++ b/packages/cassiahaven-standins/cassiahaven_standins/platform_endpoint.py
@@ -52,6 +52,14 @@
             ``name_rate_limit``.
         rate_limits: Time and value of each rate limit that it named, empty for its end.
         limited_responses: Time and request id of each response that named a rate limit.
+        is_leaving: Whether its responses say that it leaves.
+        retry_after: Value of ``Retry-After`` with which it rejects requests, then health checks
+            too, empty for none.
+        closing_responses: Time, request id and value of each 503 response with ``Retry-After``, an
+            empty id for a health check.
+        health_checks_s: Time of each health check.
+        leaving_responses: Time and request id of each response that said so, an empty id for a
+            health check.
         received_requests: Ids of the requests received, including rejected ones.
         arrivals: Time and id of each of them.
         ran: Id, start time and path of each request that was run.
@@ -70,6 +78,11 @@
         self.rate_limit = ""
         self.rate_limits: list[tuple[float, str]] = []
         self.limited_responses: list[tuple[float, str]] = []
+        self.is_leaving = False
+        self.retry_after = ""
+        self.closing_responses: list[tuple[float, str, str]] = []
+        self.health_checks_s: list[float] = []
+        self.leaving_responses: list[tuple[float, str]] = []
         self.received_requests: list[str] = []
         self.arrivals: list[tuple[float, str]] = []
         self.ran: list[tuple[str, float, str]] = []
@@ -83,7 +96,9 @@
         self.rate_limit = value
 
 
-class _Handler(BaseHTTPRequestHandler):
+class EndpointHandler(BaseHTTPRequestHandler):
+    """Answer health checks, and run requests that name this endpoint."""
+
     protocol_version = "HTTP/1.1"
     state: EndpointState
 
@@ -93,7 +108,7 @@
 
     def handle_request(self) -> None:
         state = self.state
-        body = self.rfile.read(int(self.headers.get("Content-Length") or 0))
+        body = self.read_body()
         endless_response = (
             state.endless_health_response if self.path == "/health" else state.endless_response
         )
@@ -101,6 +116,10 @@
             self._send_endless_response(endless_response)
             return
         if self.path == "/health":
+            state.health_checks_s.append(time.monotonic())
+            if state.fault == "shed" and state.retry_after:
+                self._shed()
+                return
             self._send(200, b"", {"Instance-Id": state.endpoint, "Server-Load": self._load()})
             return
         request = self.headers["Request-Id"]
@@ -110,7 +129,7 @@
             self._send(421, b"", {"Instance-Id": state.endpoint})
             return
         if state.fault == "shed":
-            self._send(503, b"", {"Not-Executed": "1"})
+            self._shed()
             return
         if state.fault == "hang":
             self._hang()
@@ -121,6 +140,16 @@
             self._work(request)
         finally:
             state.running -= 1
+        self.respond(request, body)
+
+    do_GET = do_POST = do_PUT = do_DELETE = handle_request
+
+    def read_body(self) -> bytes:
+        return self.rfile.read(int(self.headers.get("Content-Length") or 0))
+
+    def respond(self, request: str, body: bytes) -> None:
+        """Answer a request that was run."""
+        state = self.state
         if state.fault == "reset":
             self.close_connection = True
             self.connection.close()
@@ -137,8 +166,6 @@
             return
         self._send(status, response_body, response_headers)
 
-    do_GET = do_POST = do_PUT = do_DELETE = handle_request
-
     def _work(self, request: str) -> None:
         deadline_s = time.monotonic() + self.state.service_time_s
         self.connection.setblocking(False)
@@ -167,6 +194,15 @@
             pass
         self.state.endless_response_durations_s.append(time.monotonic() - started_s)
 
+    def _shed(self) -> None:
+        headers = {"Not-Executed": "1"}
+        text = self.state.retry_after
+        if text:
+            headers["Retry-After"] = text
+            request = self.headers.get("Request-Id", "")
+            self.state.closing_responses.append((time.monotonic(), request, text))
+        self._send(503, b"", headers)
+
     def _hang(self) -> None:
         self.close_connection = True
         self.connection.settimeout(MAX_HANG_S)
@@ -181,7 +217,7 @@
 
     def _send_cut(self, body: bytes, headers: dict[str, str]) -> None:
         rng = self.state.random
-        headers = headers | self._rate_limit_headers()
+        headers = headers | self._notices()
         answer = rng.choice(list(FRAMING_BY_NAME.values())).encode("200 OK", headers, body)
         # Half of the cuts are near the start, so that they often hit the head of long answers too.
         end = rng.choice([len(answer.data), min(len(answer.data), 2 * answer.head_size)])
@@ -198,19 +234,23 @@
             return
 
     def _send_twice(self, body: bytes, headers: dict[str, str]) -> None:
-        limited = headers | self._rate_limit_headers()
+        limited = headers | self._notices()
         answer = LengthFraming().encode("200 OK", limited, body)
         self._write(answer.data)
-        self._record_rate_limit(limited)
+        self._record_notices(limited)
         delay_s = self.state.random.uniform(*SECOND_ANSWER_DELAY_S)
         second = threading.Timer(delay_s, self._write, (answer.data,))
         second.daemon = True
         second.start()
 
-    def _rate_limit_headers(self) -> dict[str, str]:
-        return {"Server-Limit": self.state.rate_limit} if self.state.rate_limit else {}
+    def _notices(self) -> dict[str, str]:
+        notices = {"Server-Limit": self.state.rate_limit} if self.state.rate_limit else {}
+        return notices | ({"Server-Leaving": "1"} if self.state.is_leaving else {})
 
-    def _record_rate_limit(self, headers: dict[str, str]) -> None:
+    def _record_notices(self, headers: dict[str, str]) -> None:
+        if "Server-Leaving" in headers:
+            request = self.headers.get("Request-Id", "")
+            self.state.leaving_responses.append((time.monotonic(), request))
         if "Server-Limit" in headers and "Request-Id" in headers:
             self.state.limited_responses.append((time.monotonic(), headers["Request-Id"]))
 
@@ -233,12 +273,12 @@
     def _send_locked(
         self, status: int, body: bytes, headers: dict[str, str], *, length: int
     ) -> None:
-        headers = headers | self._rate_limit_headers()
+        headers = headers | self._notices()
         try:
             self.send_response(status)
             for name, value in headers.items():
                 self.send_header(name, value)
-            self._record_rate_limit(headers)
+            self._record_notices(headers)
             self.send_header("Content-Length", str(length))
             self.end_headers()
             self.wfile.write(body)
@@ -258,19 +298,32 @@
 class PlatformEndpoint:
     """An endpoint that listens on loopback."""
 
-    def __init__(self, endpoint: str, service: str, zone: str) -> None:
-        self.state = EndpointState(endpoint, service)
+    def __init__(
+        self,
+        endpoint: str,
+        service: str,
+        zone: str,
+        *,
+        state: EndpointState | None = None,
+        handler: type[EndpointHandler] = EndpointHandler,
+    ) -> None:
+        self.state = state or EndpointState(endpoint, service)
         self.zone = zone
-        handler = type("Handler", (_Handler,), {"state": self.state})
+        handler = type("Handler", (handler,), {"state": self.state})
         self._server = QuietServer(("127.0.0.1", 0), handler)
         threading.Thread(target=self._server.serve_forever, daemon=True).start()
 
+    @property
+    def address(self) -> str:
+        """Return the address as host and port."""
+        host, port = self._server.server_address
+        return f"{host}:{port}"
+
     def registration(self, state: str = "ready") -> dict[str, Any]:
         """Return the endpoint's registration in the store."""
-        host, port = self._server.server_address
         return {
             "service": self.state.service,
-            "address": f"{host}:{port}",
+            "address": self.address,
             "zone": self.zone,
             "version": "v1",
             "slots": 8,
--- a/tests/test_answer_framing.py
+++ b/tests/test_answer_framing.py
@@ -22,7 +22,7 @@
 import base64, json, sys
 import eventlet; eventlet.monkey_patch()
 from cassiahaven_core.edge import SendFailed, TransferBroken, UpstreamRequest
-from cassiahaven_core.pool import EndpointAddress
+from cassiahaven_core.endpoint_address import EndpointAddress
 from cassiahaven_entry.http_transport import HttpTransport
 from cassiahaven_platform.dialects import PlatformUpstreams
 port, count, body_bytes = map(int, sys.argv[1:])
@@ -161,8 +161,77 @@
     assert send_calls([(data, False)] * 2) == [None, None]
 
 
+MALFORMED_CHUNKS = {
+    "negative size": b"-1\r\nabc\r\n",
+    "signed size": b"+3\r\nabc\r\n",
+    "prefixed size": b"0x3\r\nabc\r\n",
+    "size with an underscore": b"0_3\r\nabc\r\n",
+    "size behind a space": b" 3\r\nabc\r\n",
+    "size without a carriage return": b"3\nabc\r\n",
+    "no line break behind a chunk": b"3\r\nabcXY",
+    "chunk that is longer than its size": b"2\r\nabc\r\n",
+}
+
+
+@pytest.mark.parametrize("fault", MALFORMED_CHUNKS)
+def test_answer_whose_chunks_cannot_be_read_is_not_passed_on(send_calls, fault):
+    # The library skips two bytes behind a chunk unseen, and reads numbers in Python's notation.
+    headers = HEADERS | {"Transfer-Encoding": "chunked"}
+    data = ConnectionFraming().encode("200 OK", headers, MALFORMED_CHUNKS[fault]).data
+    assert send_calls([(data + b"0\r\n\r\n", False)] * 2) == [None, None]
+
+
+@pytest.mark.parametrize("line", [b"3 \r\n", b"03;name=value\r\n", b'3 ; name="a b"\r\n'])
+def test_size_of_a_chunk_may_be_padded_or_extended(send_calls, line):
+    # Endpoints may fill up the line of a chunk's size, or add to it.
+    headers = HEADERS | {"Transfer-Encoding": "chunked"}
+    chunks = line + b"abc\r\n0\r\n\r\n"
+    data = ConnectionFraming().encode("200 OK", headers, chunks).data
+    assert send_calls([(data, False)] * 2) == [b"abc", b"abc"]
+
+
 @pytest.mark.parametrize("status", ["101 Switching Protocols", "103 Early Hints"])
 def test_interim_answer_is_not_passed_on_as_the_last_one(send_calls, status):
     interim = f"HTTP/1.1 {status}\r\nRequest-Id: r1\r\n\r\n".encode()
     answer = LengthFraming(interim=interim).encode("200 OK", HEADERS, BODY)
     assert send_calls([(answer.data, False)] * 2) == [None, None]
+
+
+@pytest.mark.parametrize("framing", FRAMING_BY_NAME)
+def test_part_of_a_late_answer_does_not_shorten_the_next_one(send_calls, framing):
+    # The length of a late answer that was cut within its head was taken for that of the next one.
+    answer = FRAMING_BY_NAME[framing].encode("200 OK", HEADERS, BODY)
+    late_headers = {"Request-Id": "r0", "Response-Signature": "sig-r0", "Server-Load": "1,0,8"}
+    parts = []
+    for late_framing in ("length", "chunks"):
+        for headers in (late_headers, dict(reversed(late_headers.items()))):
+            for framing_first in (False, True):
+                late = FRAMING_BY_NAME[late_framing].encode(
+                    "200 OK", headers, BODY[:30], framing_first=framing_first
+                )
+                parts += [late.data[:size] for size in range(1, len(late.data) + 1)]
+    bodies = send_calls([(part + answer.data, False) for part in parts])
+    wrong = {
+        part: body for part, body in zip(parts, bodies, strict=True) if body not in (BODY, None)
+    }
+    assert wrong == {}
+
+
+@pytest.mark.parametrize("framing", FRAMING_BY_NAME)
+def test_answer_cut_in_its_body_is_not_filled_up_with_the_one_behind_it(send_calls, framing):
+    # The head of the repeated answer became the end of a body that had the announced length.
+    first = FRAMING_BY_NAME[framing].encode("200 OK", HEADERS, BODY)
+    cuts = [
+        (name, size)
+        for name in ("length", "chunks", "connection")
+        for size in range(first.head_size, len(first.data))
+        for _ in ("GET", "POST")
+    ]
+    second_by_name = {
+        name: FRAMING_BY_NAME[name].encode("200 OK", HEADERS, BODY).data for name, _ in cuts
+    }
+    bodies = send_calls([(first.data[:size] + second_by_name[name], False) for name, size in cuts])
+    wrong = [
+        (*cut, body) for cut, body in zip(cuts, bodies, strict=True) if body not in (BODY, None)
+    ]
+    assert wrong == []
