Pass no success on that names two requests, and name what stopped a newcomer

What a caller could get: a success whose head names two requests, the own one last. Cause: headers were put into a dictionary, in which the last value of a name hides the others; values are joined now. Evidence: test_success_that_names_two_requests_is_not_passed_on failed before (the body was handed out). The rest are names and comments.

--- a/packages/cassiahaven-entry/cassiahaven_entry/_connection.py
+++ b/packages/cassiahaven-entry/cassiahaven_entry/_connection.py
@@ -76,7 +76,8 @@
 class _ChunkedBytes:
     """Bytes of a chunked body; raises if a chunk does not begin or end as it should.
 
-    The library skips the two bytes behind a chunk and reads sizes such as ``-1`` or ``0x5``.
+    The library reads the two bytes behind a chunk by themselves and ignores what they are, and it
+    accepts sizes such as ``-1`` or ``0x5``.
 
     Args:
         buffered: Bytes of the connection, from the first chunk on.
@@ -84,7 +85,7 @@
 
     def __init__(self, buffered: io.BufferedReader) -> None:
         self._buffered = buffered
-        self._last_read = b"\r\n"
+        self._last_read = b"\r\n"  # the head ends with a line break, too
         self._is_in_trailers = False
 
     def __getattr__(self, name: str) -> Any:
@@ -155,7 +156,9 @@
             self.fp = _ChunkedBytes(self.fp)
 
     def _close_conn(self) -> None:
+        """Record what was received behind the answer, and drop the buffer that holds it."""
         if not self.fp.closed:
+            # Peeking would otherwise wait for more if nothing is buffered.
             self._bytes.is_paused = True
             self._record.surplus = self.fp.peek()
         super()._close_conn()
@@ -179,7 +182,9 @@
         self._record_in(AnswerRecord())
 
     def _record_in(self, record: AnswerRecord) -> None:
+        """Record in ``record`` how the next response is read."""
         self._record = record
+        # The library creates the response.
         self.response_class = partial(WholeResponse, record=record)
 
 
--- a/packages/cassiahaven-entry/cassiahaven_entry/caller_connection.py
+++ b/packages/cassiahaven-entry/cassiahaven_entry/caller_connection.py
@@ -112,7 +112,7 @@
         try:
             wsgi.HttpProtocol.handle_one_response(self._protocol)
             if self._is_body_whole and not self._protocol.wfile.has_failed:
-                self._connection.set_resets(False)
+                self._connection.set_reset_on_close(False)
         except CallerLeft:
             self._protocol.close_connection = True
         except OSError as error:
@@ -159,7 +159,7 @@
         Before HTTP/1.1 there are no chunks, so an answer without a length ends with its connection.
         """
         if not has_length and self._protocol.request_version != "HTTP/1.1":
-            self._connection.set_resets(True)
+            self._connection.set_reset_on_close(True)
 
     def end_body(self) -> None:
         """Record that the whole body has been handed to the server."""
@@ -352,7 +352,7 @@
         if room is not None:
             room.send()
 
-    def set_resets(self, resets: bool) -> None:
+    def set_reset_on_close(self, resets: bool) -> None:
         """Set whether the end of the connection is a reset, also if the process is killed."""
         if self.resets == resets:
             return
--- a/packages/cassiahaven-entry/cassiahaven_entry/http_transport.py
+++ b/packages/cassiahaven-entry/cassiahaven_entry/http_transport.py
@@ -204,13 +204,13 @@
             self._report_mixed_head(address, error, record, None)
             return ProbeFailed(f"{type(error).__name__}: {error}")
         value_by_name = _value_by_name(response)
-        named = self._dialect.read_head(response.status, value_by_name, None).request_id
-        if named is not None:
+        answered = self._dialect.read_head(response.status, value_by_name, None).request_id
+        if answered is not None:
             response.close()
             self._report_unexpected(
                 address,
                 UnexpectedPlace.IN_PLACE_OF_ANSWER,
-                named=named,
+                named=answered,
                 status=response.status,
                 answer=record.to_plain(),
             )
@@ -403,7 +403,8 @@
 
 
 def _value_by_name(response: urllib3.BaseHTTPResponse) -> dict[str, str]:
-    return {name.lower(): value for name, value in response.headers.items()}
+    """Return the headers by name in lower case; several values of a name are joined."""
+    return {name.lower(): response.headers[name] for name in response.headers}
 
 
 def _discard(response: urllib3.BaseHTTPResponse) -> None:
--- a/tests/test_answer_scripts.py
+++ b/tests/test_answer_scripts.py
@@ -127,6 +127,12 @@
     assert runner.results([script]) == [[handed_out(200, b"first"), None]]
 
 
+def test_success_that_names_two_requests_is_not_passed_on(runner):
+    # Of two headers of one name the last one counted, so the answer passed for either request's.
+    two_ids = encode("t.0", b"late").replace(b"t.0", b"other\r\nRequest-Id: t.0")
+    assert runner.results([[exchange("t.0", two_ids)]]) == [[None]]
+
+
 def test_answer_cut_in_a_chunk_does_not_end_within_the_one_behind_it(runner):
     # The chunk took the start of the second head, whose length of 0 was read as the last chunk.
     body = b"abcdefghij" * 40
