--- a/tests/test_configuration_rows.py
+++ b/tests/test_configuration_rows.py
@@ -4,7 +4,7 @@
 import json
 
 import pytest
-from hypothesis import given
+from hypothesis import example, given
 from hypothesis import strategies as st
 
 from cassiahaven_core.fleet_state import config_from_plain, config_to_plain
@@ -92,6 +92,9 @@
         assert found is not NoRouteReason.NO_ROUTE
 
 
+# A text of three characters was read as the name, host and path of a route.
+@example(row="00/", position=0)
+@example(row=["", "", "/"], position=0)
 @given(row=json_values, position=st.integers(0, 2))
 def test_whatever_one_row_holds_all_other_routes_are_served(row, position):
     rows = [route_row("a"), route_row("b")]
