Decode client accounts, uploads, cold endpoints and the bounds of quotas

Change: accounts with digests of their keys, kinds of routes, `coldStart`, `coldPerS` and the new settings are decoded and passed between entries. Learned latencies have a key of their own, as limits will apply to accounts.

--- a/packages/cassiahaven-core/cassiahaven_core/admission.py
+++ b/packages/cassiahaven-core/cassiahaven_core/admission.py
@@ -14,11 +14,14 @@
     """A call waiting for a free slot.
 
     Attributes:
+        partner: Whom limits and fair queueing apply to: the client account, or else the route.
         tried: Endpoints that the call has already been sent to.
         priority: Priority among waiting calls, 0 is the highest.
         target_at_ms: Time by which a response meets the latency target.
         start_by_ms: Latest time to send the call and meet the target.
         most_attempts: Maximum number of endpoints that the call may be sent to.
+        work_class: Calls of similar work, which learned latencies are kept for; empty if they are
+            those of the partner.
     """
 
     call_id: str
@@ -31,6 +34,12 @@
     target_at_ms: float = float("inf")
     start_by_ms: float = float("inf")
     most_attempts: int = 3
+    work_class: str = ""
+
+    @property
+    def latency_class(self) -> str:
+        """Return the key under which latencies of such calls are learned."""
+        return self.work_class or self.partner
 
 
 @dataclass(slots=True)
--- a/packages/cassiahaven-core/cassiahaven_core/fleet_state.py
+++ b/packages/cassiahaven-core/cassiahaven_core/fleet_state.py
@@ -5,6 +5,7 @@
 from dataclasses import astuple, replace
 from typing import Any, TypeAlias
 
+from cassiahaven_core.account import ClientAccount
 from cassiahaven_core.membership import Member
 from cassiahaven_core.registry import Registration
 from cassiahaven_core.route import (
@@ -108,14 +109,16 @@
         [list(astuple(spec)) for spec in config.service_by_name.values()],
         list(astuple(config.limits)),
     ]
-    if config.rejected:
-        # Left out if empty: earlier builds read only the four lists above.
+    if config.rejected or config.accounts is not None:
+        # Left out if not needed: earlier builds read only the four lists above.
         plain.append(
             [
                 [row.table.value, row.name, row.finding, row.host, row.path_prefix]
                 for row in config.rejected
             ]
         )
+    if config.accounts is not None:
+        plain.append([list(astuple(account)) for account in config.accounts])
     return plain
 
 
@@ -127,15 +130,22 @@
     """
     version, routes, specs, limits, *rest = plain
     rejected = rest[0] if rest else []
+    accounts = rest[1] if len(rest) > 1 else None
     return GatewayConfig(
         version,
         tuple(_route_from_plain(route) for route in routes),
         {spec[0]: ServiceSpec(*spec) for spec in specs},
         CallerLimits(*limits),
         tuple(RejectedRow(ConfigTable(table), *fields) for table, *fields in rejected),
+        None if accounts is None else tuple(_account_from_plain(account) for account in accounts),
     )
 
 
+def _account_from_plain(plain: list[Any]) -> ClientAccount:
+    name, key_digests, *rest = plain
+    return ClientAccount(name, tuple(key_digests), *rest)
+
+
 def _route_from_plain(plain: list[Any]) -> Route:
     name, host, path_prefix, shares, *rest = plain
     return Route(name, host, path_prefix, tuple(ServiceShare(*share) for share in shares), *rest)
--- a/packages/cassiahaven-core/cassiahaven_core/load_shedding.py
+++ b/packages/cassiahaven-core/cassiahaven_core/load_shedding.py
@@ -23,7 +23,7 @@
 
     Args:
         calls: Calls in service order, except that late calls are served last.
-        typical_latency_ms: Returns the typical call latency of a partner.
+        typical_latency_ms: Returns the typical latency of calls of a class.
         slots: Number of calls that run concurrently.
         now_ms: Current time, milliseconds.
         opens_in_ms: Time until the first call can be sent.
@@ -33,7 +33,7 @@
     unservable: list[WaitingCall] = []
     work_ms = 0.0
     for call in (*fresh, *late):
-        latency_ms = typical_latency_ms(call.partner)
+        latency_ms = typical_latency_ms(call.latency_class)
         starts_ms = now_ms + opens_in_ms + (work_ms / slots if slots else 0.0)
         if starts_ms + latency_ms * MIN_LATENCY_SHARE > call.deadline_ms:
             unservable.append(call)
--- a/packages/cassiahaven-core/cassiahaven_core/route.py
+++ b/packages/cassiahaven-core/cassiahaven_core/route.py
@@ -4,6 +4,8 @@
 from dataclasses import dataclass, field
 from enum import Enum
 
+from cassiahaven_core.account import ClientAccount, key_digest
+
 DEFAULT_IDLE_MS = 15_000.0  # the most common value in operators' configurations
 DEFAULT_BODY_BYTES = 64 * 1024 * 1024
 
@@ -28,6 +30,8 @@
         target_ms: Target latency of a response.
         most_attempts: Maximum number of endpoints that one call may be sent to.
         priority: Priority of the calls, 0 is the highest.
+        allows_anonymous: Whether calls need no key of a client account.
+        is_upload: Whether the calls have large bodies.
     """
 
     name: str
@@ -39,6 +43,8 @@
     target_ms: float
     most_attempts: int
     priority: int = 0
+    allows_anonymous: bool = False
+    is_upload: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -47,11 +53,15 @@
 
     Attributes:
         most_connections: Maximum connections to an endpoint over all callers.
+        cold_ms: Time for which an endpoint is cold after its start.
+        cold_per_s: Calls a second that a cold endpoint bears, 0 for no limit.
     """
 
     name: str
     health_path: str
     most_connections: int
+    cold_ms: float = 0.0
+    cold_per_s: float = 0.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -88,6 +98,7 @@
     ROUTES = "routes"
     SERVICES = "services"
     LIMITS = "limits"
+    ACCOUNTS = "accounts"
 
 
 @dataclass(frozen=True, slots=True)
@@ -119,6 +130,7 @@
 
     Attributes:
         rejected: Rows that cannot be used; all others are in force.
+        accounts: Client accounts, ``None`` if calls need no keys.
     """
 
     version: int
@@ -126,6 +138,7 @@
     service_by_name: dict[str, ServiceSpec]
     limits: CallerLimits = CallerLimits()
     rejected: tuple[RejectedRow, ...] = ()
+    accounts: tuple[ClientAccount, ...] | None = None
 
     def rules(self, service: str) -> dict[str, RouteRule]:
         """Return the active rules for the calls to a service, keyed by route name."""
@@ -166,10 +179,19 @@
     An older version never replaces a newer one, whichever source it comes from.
     """
 
-    __slots__ = ("config", "_routes_by_host", "_may_be_rejected", "_split_by_route")
+    __slots__ = (
+        "config",
+        "account_by_name",
+        "_account_by_key_digest",
+        "_routes_by_host",
+        "_may_be_rejected",
+        "_split_by_route",
+    )
 
     def __init__(self) -> None:
         self.config: GatewayConfig | None = None
+        self.account_by_name: dict[str, ClientAccount] = {}
+        self._account_by_key_digest: dict[bytes, ClientAccount] = {}
         self._may_be_rejected = False
         self._routes_by_host: dict[str, list[Route | RejectedRow]] = {}
         self._split_by_route: dict[str, _SplitState] = {}
@@ -179,11 +201,31 @@
         """Return the active version, 0 if there is none yet."""
         return self.config.version if self.config is not None else 0
 
+    @property
+    def has_accounts(self) -> bool:
+        """Return whether calls belong to client accounts."""
+        return self.config is not None and self.config.accounts is not None
+
+    @property
+    def may_lack_keys(self) -> bool:
+        """Return whether keys may be missing since the row of an account was rejected."""
+        rejected = self.config.rejected if self.config is not None else ()
+        return any(row.table is ConfigTable.ACCOUNTS for row in rejected)
+
+    def account_for_key(self, key: str) -> ClientAccount | None:
+        """Return the account that holds ``key`` in the active configuration."""
+        return self._account_by_key_digest.get(key_digest(key))
+
     def activate(self, config: GatewayConfig) -> bool:
         """Activate ``config`` if it is newer than the active one, and return whether it was."""
         if config.version <= self.version:
             return False
         self.config = config
+        accounts = config.accounts or ()
+        self.account_by_name = {account.name: account for account in accounts}
+        self._account_by_key_digest = {
+            digest: account for account in accounts for digest in account.key_digests
+        }
         rejected = [row for row in config.rejected if row.table is ConfigTable.ROUTES]
         self._routes_by_host = _index([*config.routes, *(r for r in rejected if r.is_placed)])
         # The requests meant for these routes are unknown, so no request may be told that it has
--- a/packages/cassiahaven-core/cassiahaven_core/routed_settings.py
+++ b/packages/cassiahaven-core/cassiahaven_core/routed_settings.py
@@ -14,6 +14,21 @@
         return f"{self.host}:{self.port}"
 
 
+@dataclass(frozen=True, slots=True)
+class UsageCapBounds:
+    """Tolerances within which usage caps of client accounts hold over all entries.
+
+    Attributes:
+        window_ms: Length of the window in which calls are counted.
+        overage: Share of the cap that may be exceeded.
+        slack: Calls that may be admitted in addition.
+    """
+
+    window_ms: float
+    overage: float
+    slack: float
+
+
 @dataclass(frozen=True, slots=True)
 class RoutedSettings:
     """The validated settings of the process.
@@ -33,6 +48,13 @@
         stop_ms: Time from SIGTERM until the process is killed.
         probes_per_s: Limit of probes per second to one endpoint.
         metrics_port: Port that serves the metrics.
+        usage_cap: Tolerances of usage caps, ``None`` if the deployment has none.
+        cold_overage: Factor by which calls to a cold endpoint may exceed what it bears.
+        cold_slack: Calls a second that a cold endpoint may get in addition.
+        evacuation_ms: Time within which an evacuated zone gets no calls, ``None`` if zones are not
+            evacuated.
+        fails_closed: Whether calls with keys are refused while the store's view is too old.
+        revocation_ms: Age of the store's view up to which keys are accepted if so.
     """
 
     name: str
@@ -52,3 +74,9 @@
     stop_ms: float
     probes_per_s: float
     metrics_port: int
+    usage_cap: UsageCapBounds | None = None
+    cold_overage: float = 1.0
+    cold_slack: float = 0.0
+    evacuation_ms: float | None = None
+    fails_closed: bool = False
+    revocation_ms: float = float("inf")
--- a/packages/cassiahaven-core/cassiahaven_core/service.py
+++ b/packages/cassiahaven-core/cassiahaven_core/service.py
@@ -83,7 +83,7 @@
         if call.deadline_ms <= now_ms:
             return [Refuse(call.call_id, RefusalReason.DEADLINE_EXCEEDED)]
         call = replace(
-            call, start_by_ms=call.target_at_ms - self.pool.typical_latency_ms(call.partner)
+            call, start_by_ms=call.target_at_ms - self.pool.typical_latency_ms(call.latency_class)
         )
         if not self._may_serve(call, now_ms):
             return [Refuse(call.call_id, RefusalReason.NO_UPSTREAM)]
@@ -187,7 +187,7 @@
         reason = RETRY_REASON_BY_RESULT.get(result)
         if reason is None or len(tried) >= call.most_attempts:
             return None
-        shortest_ms = self.pool.typical_latency_ms(call.partner) * MIN_LATENCY_SHARE
+        shortest_ms = self.pool.typical_latency_ms(call.latency_class) * MIN_LATENCY_SHARE
         if now_ms + shortest_ms > call.deadline_ms:
             return None
         if not call.idempotent and result not in NOT_RUN_RESULTS:
@@ -217,8 +217,8 @@
         """
         if not call.idempotent or len(tried) >= call.most_attempts:
             return None
-        patience_ms = self.pool.latency_bound_ms(call.partner, endpoint, now_ms)
-        answer_ms = self.pool.typical_latency_ms(call.partner)
+        patience_ms = self.pool.latency_bound_ms(call.latency_class, endpoint, now_ms)
+        answer_ms = self.pool.typical_latency_ms(call.latency_class)
         if patience_ms is None or now_ms + patience_ms + answer_ms > call.deadline_ms:
             return None
         if self.pool.opens_in_ms(now_ms, tried) or not self.retry_budget.has_room(now_ms):
@@ -273,8 +273,8 @@
         return effects
 
     def _start(self, call: WaitingCall, endpoint: Endpoint, now_ms: float) -> None:
-        self.admission.start(call, self.pool.typical_latency_ms(call.partner))
-        self.pool.start(endpoint, call.call_id, call.partner, now_ms)
+        self.admission.start(call, self.pool.typical_latency_ms(call.latency_class))
+        self.pool.start(endpoint, call.call_id, call.latency_class, now_ms)
 
     def _refuse_all(self, reason: RefusalReason) -> list[Effect]:
         refused = self.admission.expired(float("inf"))
@@ -294,11 +294,11 @@
         return self.pool.opens_in_ms(now_ms)
 
     def _expected_wait_ms(self, call: WaitingCall, now_ms: float) -> float:
-        slots = self.pool.usable_slots(self.pool.typical_latency_ms(call.partner), now_ms)
+        slots = self.pool.usable_slots(self.pool.typical_latency_ms(call.latency_class), now_ms)
         if not slots or call.partner not in self.admission.partner_by_name:
             return 0.0
         ahead = self.admission.expected_calls_ahead(call.partner, call.priority)
-        return ahead * self.pool.typical_latency_ms(call.partner) / slots
+        return ahead * self.pool.typical_latency_ms(call.latency_class) / slots
 
     def retry_after_ms(self, call: WaitingCall, now_ms: float) -> float:
         """Return the delay after which to retry a refused call, milliseconds."""
@@ -309,7 +309,7 @@
         wait_ms = self._expected_wait_ms(call, now_ms)
         rate_per_s = self.pool.serving_rate_per_s()
         if not 0 < rate_per_s < UNLIMITED:
-            return wait_ms + self.pool.typical_latency_ms(call.partner) / 2
+            return wait_ms + self.pool.typical_latency_ms(call.latency_class) / 2
         # Each refused caller is sent back for another call that the rate limits will let through.
         opens_ms = now_ms + self.pool.opens_in_ms(now_ms)
         soonest_ms = max(opens_ms + wait_ms, self._promised_ms + MS_PER_S / rate_per_s)
@@ -320,7 +320,7 @@
         calls = self.admission.waiting_calls()
         if not calls:
             return []
-        latencies_ms = [self.pool.typical_latency_ms(call.partner) for call in calls]
+        latencies_ms = [self.pool.typical_latency_ms(call.latency_class) for call in calls]
         return unservable_calls(
             calls,
             self.pool.typical_latency_ms,
--- a/packages/cassiahaven-core/tests/test_route.py
+++ b/packages/cassiahaven-core/tests/test_route.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from cassiahaven_core.account import ClientAccount, key_digest
 from cassiahaven_core.fleet_state import config_from_plain, config_to_plain
 from cassiahaven_core.route import (
     GatewayConfig,
@@ -85,3 +86,22 @@
 
 def test_configuration_round_trips_through_plain_form(table):
     assert config_from_plain(config_to_plain(table.config)) == table.config
+
+
+def test_accounts_survive_the_link_between_entries():
+    account = ClientAccount("mosque", (key_digest("k1"), key_digest("k2")), 1, 92.0, 92.0)
+    sent = GatewayConfig(7, (), {}, accounts=(account,))
+    table = RoutingTable()
+    assert table.activate(config_from_plain(config_to_plain(sent)))
+    assert table.config == sent
+    assert table.account_for_key("k2") == account
+    assert table.account_for_key("k3") is None
+
+
+def test_no_key_works_after_the_configuration_that_withdrew_it():
+    held = ClientAccount("mosque", (key_digest("k1"),))
+    table = RoutingTable()
+    table.activate(GatewayConfig(7, (), {}, accounts=(held,)))
+    table.activate(GatewayConfig(9, (), {}, accounts=(ClientAccount("mosque", ()),)))
+    assert not table.activate(GatewayConfig(8, (), {}, accounts=(held,)))
+    assert table.account_for_key("k1") is None
