Authenticate calls of client accounts and name the account to endpoints

Cause: calls with keys were forwarded with their keys, without `Tenant-Id`, and calls without a key were served. Change: a call is identified when it is read and again right before each attempt, so that revoked keys end waiting, pipelined and repeated calls too. Unknown keys get 401, or 503 while the row of an account cannot be read; `failClosed` refuses keys while the store has not answered this entry or its watchers for `revoke`. Waiting calls belong to their account, or else route. `test_request_head_is_read` now passes the raw headers that the server provides.

--- a/packages/cassiahaven-core/cassiahaven_core/edge.py
+++ b/packages/cassiahaven-core/cassiahaven_core/edge.py
@@ -251,6 +251,17 @@
     ) -> tuple[tuple[str, str], ...]:
         """Return the headers to send to an upstream with a call."""
 
+    def account_headers(
+        self, headers: tuple[tuple[str, str], ...], account: str
+    ) -> tuple[tuple[str, str], ...]:
+        """Return a caller's headers without its key and with the name of its account.
+
+        Args:
+            headers: Headers as the caller sent them.
+            account: Name of the client account, empty for an anonymous call.
+        """
+        return headers
+
     @abstractmethod
     def read_head(
         self, status: int, headers: dict[str, str], request_id: str | None
@@ -370,9 +381,10 @@
     service: str
     method: str
     target: str
-    headers: tuple[tuple[str, str], ...]
+    # Left out of the text form, which may be logged: both can hold the caller's credentials.
+    headers: tuple[tuple[str, str], ...] = field(repr=False)
     body: Body
-    token: str | None
+    token: str | None = field(repr=False)
     key: str | None
     timeout_ms: float | None
     host: str = ""
--- a/packages/cassiahaven-core/cassiahaven_core/reason.py
+++ b/packages/cassiahaven-core/cassiahaven_core/reason.py
@@ -11,6 +11,8 @@
     REJECTED_ROUTE = "rejected-route"
     NOT_CONFIGURED = "not-configured"
     UNAUTHENTICATED = "unauthenticated"
+    ACCOUNTS_INCOMPLETE = "accounts-incomplete"
+    STORE_VIEW_STALE = "store-view-stale"
     MALFORMED_REQUEST = "malformed-request"
     BODY_TOO_LARGE = "body-too-large"
     BODY_INCOMPLETE = "body-incomplete"
--- a/packages/cassiahaven-core/cassiahaven_core/route.py
+++ b/packages/cassiahaven-core/cassiahaven_core/route.py
@@ -4,7 +4,8 @@
 from dataclasses import dataclass, field
 from enum import Enum
 
-from cassiahaven_core.account import ClientAccount, key_digest
+from cassiahaven_core.account import ANONYMOUS, UNUSABLE_KEY, ClientAccount, key_digest
+from cassiahaven_core.reason import RefusalReason
 
 DEFAULT_IDLE_MS = 15_000.0  # the most common value in operators' configurations
 DEFAULT_BODY_BYTES = 64 * 1024 * 1024
@@ -216,6 +217,31 @@
         """Return the account that holds ``key`` in the active configuration."""
         return self._account_by_key_digest.get(key_digest(key))
 
+    def identify(
+        self, key: str | None, *, allows_anonymous: bool
+    ) -> ClientAccount | RefusalReason | None:
+        """Return the account of a call, or why the call is refused.
+
+        Args:
+            key: Key that the call carries, ``None`` without one; see ``read_key``.
+            allows_anonymous: Whether the call's route needs no key.
+
+        Returns:
+            ``ANONYMOUS`` for a call without a key, ``None`` if calls belong to no accounts.
+        """
+        if not self.has_accounts:
+            return None
+        if key is None:
+            return ANONYMOUS if allows_anonymous else RefusalReason.UNAUTHENTICATED
+        if key == UNUSABLE_KEY:
+            return RefusalReason.UNAUTHENTICATED
+        account = self.account_for_key(key)
+        if account is not None:
+            return account
+        # The key may belong to the row that could not be read.
+        is_certain = not self.may_lack_keys
+        return RefusalReason.UNAUTHENTICATED if is_certain else RefusalReason.ACCOUNTS_INCOMPLETE
+
     def activate(self, config: GatewayConfig) -> bool:
         """Activate ``config`` if it is newer than the active one, and return whether it was."""
         if config.version <= self.version:
--- a/packages/cassiahaven-entry/cassiahaven_entry/attempts.py
+++ b/packages/cassiahaven-entry/cassiahaven_entry/attempts.py
@@ -104,8 +104,20 @@
         self._on_rate_limit = on_rate_limit
         self._memory = AnswerMemory()
 
-    def run(self, call: Call, task: ServiceTask) -> Finished:
-        """Run ``call``, with retries, and return its result."""
+    def run(
+        self,
+        call: Call,
+        task: ServiceTask,
+        *,
+        check: Callable[[Call], RefusalReason | None] = lambda call: None,
+    ) -> Finished:
+        """Run ``call``, with retries, and return its result.
+
+        Args:
+            call: The call.
+            task: Policy of the call's service.
+            check: Called right before each attempt; returns why the call must not be sent.
+        """
         if self._quarantine.is_quarantined(call.fingerprint, now_ms()):
             return Finished(NotRun(RefusalReason.QUARANTINED))
         effect: Effect | None = task.submit(call.waiting)
@@ -123,6 +135,10 @@
                 self._metrics.placed_again.labels(call.service).inc()
                 effect = task.place_again(call.waiting, address.endpoint, frozenset(tried))
                 continue
+            refusal = check(call)
+            if refusal is not None:
+                task.finish(call.waiting, address.endpoint, CallResult.CANCELLED)
+                return progress.finished(refusal)
             tried.add(address.endpoint)
             ended = self._attempt(call, task, address, frozenset(tried))
             result = self._record_result(progress, ended)
@@ -199,10 +215,13 @@
         added = self._dialect.request_headers(
             call.request, call.call_id, call.partner, address.endpoint, left_ms
         )
+        headers = call.request.headers
+        if call.account is not None:
+            headers = self._dialect.account_headers(headers, call.account.name)
         request = UpstreamRequest(
             call.request.method,
             call.request.target,
-            (*call.request.headers, *added),
+            (*headers, *added),
             call.request.body,
             call.waiting.idempotent,
             call.request.request_id,
--- a/packages/cassiahaven-entry/cassiahaven_entry/call.py
+++ b/packages/cassiahaven-entry/cassiahaven_entry/call.py
@@ -4,6 +4,7 @@
 from collections.abc import Callable, Iterator
 from dataclasses import dataclass, replace
 
+from cassiahaven_core.account import ClientAccount
 from cassiahaven_core.admission import WaitingCall
 from cassiahaven_core.answer import Answer
 from cassiahaven_core.answer_record import AnswerRecord
@@ -17,14 +18,26 @@
 
 
 class Call:
-    """State of one call while it runs."""
+    """State of one call while it runs.
 
-    __slots__ = ("request", "service", "waiting", "fingerprint", "explanation")
+    Attributes:
+        account: Client account of the call, ``None`` if calls belong to no accounts.
+    """
+
+    __slots__ = ("request", "service", "waiting", "account", "fingerprint", "explanation")
 
-    def __init__(self, request: CallRequest, service: str, waiting: WaitingCall) -> None:
+    def __init__(
+        self,
+        request: CallRequest,
+        service: str,
+        waiting: WaitingCall,
+        *,
+        account: ClientAccount | None = None,
+    ) -> None:
         self.request = request
         self.service = service
         self.waiting = waiting
+        self.account = account
         self.fingerprint = request_fingerprint(
             service, waiting.partner, request.method, request.target, request.body
         )
--- a/packages/cassiahaven-entry/cassiahaven_entry/routed_calls.py
+++ b/packages/cassiahaven-entry/cassiahaven_entry/routed_calls.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable
 from itertools import count
 
+from cassiahaven_core.account import ClientAccount, combined_priority
 from cassiahaven_core.admission import WaitingCall
 from cassiahaven_core.answer_record import AnswerRecord
 from cassiahaven_core.edge import CallRequest, CallResponse
@@ -26,7 +27,7 @@
     NoRouteReason.REJECTED_ROUTE: RefusalReason.REJECTED_ROUTE,
 }
 CONTENT_LENGTH = "content-length"
-CONFIGURATION_RETRY_MS = 500.0  # a configuration may arrive by then
+CONFIGURATION_RETRY_MS = 500.0  # a configuration or contact to the store may arrive by then
 
 
 class RoutedCalls:
@@ -38,6 +39,7 @@
         task_for: Returns the task that owns a service's policy.
         attempts: Sends calls to upstreams and retries them.
         dialect: Protocol that callers speak.
+        has_current_view: Returns whether the state of accounts is recent enough to accept keys.
     """
 
     def __init__(
@@ -49,6 +51,7 @@
         dialect: CallerDialect,
         *,
         metrics: Metrics,
+        has_current_view: Callable[[], bool] = lambda: True,
     ) -> None:
         self._process = process
         self._routing = routing
@@ -56,6 +59,7 @@
         self._attempts = attempts
         self._dialect = dialect
         self._metrics = metrics
+        self._has_current_view = has_current_view
         self._numbers = count(1)
         self.explanations = ExplanationMemory()
 
@@ -65,14 +69,20 @@
         route = self._routing.match(request.host, path)
         if isinstance(route, NoRouteReason):
             return self._refuse_unrouted(request, route)
+        account = self._identify(request, route)
+        if isinstance(account, RefusalReason):
+            call = Call(request, route.shares[0].service, self._waiting(request, route, None))
+            return self._refuse(call, route, account, CONFIGURATION_RETRY_MS)
         if not route.is_idempotent:
             # An answer before this one may close the connection; callers then repeat this call.
             request.await_turn()
         service = self._routing.choose_service(route)
-        call = Call(request, service, self._waiting(request, route))
+        call = Call(request, service, self._waiting(request, route, account), account=account)
         task = self._task_for(service)
         try:
-            finished = self._attempts.run(call, task)
+            finished = self._attempts.run(
+                call, task, check=lambda call: self._check_again(call, route)
+            )
         except CallerLeft:
             self._record_end(call, route, "caller-left")
             raise
@@ -81,22 +91,55 @@
             finished = Finished(Unknown(UnknownReason.INTERNAL))
         return self._respond(call, route, task, finished)
 
-    def _waiting(self, request: CallRequest, route: Route) -> WaitingCall:
+    def _identify(self, request: CallRequest, route: Route) -> ClientAccount | RefusalReason | None:
+        """Return the account of a call as of now, or why the call is refused."""
+        if self._routing.has_accounts and request.token and not self._has_current_view():
+            return RefusalReason.STORE_VIEW_STALE
+        return self._routing.identify(request.token, allows_anonymous=route.allows_anonymous)
+
+    def _check_again(self, call: Call, route: Route) -> RefusalReason | None:
+        """Identify a call anew: its key may have been revoked, or moved to another account."""
+        account = self._identify(call.request, route)
+        if isinstance(account, RefusalReason):
+            call.note("not sent", account.value)
+            return account
+        call.account = account
+        return None
+
+    def _waiting(
+        self, request: CallRequest, route: Route, account: ClientAccount | None
+    ) -> WaitingCall:
         arrived_ms = request.arrived_ms
         limit_ms = route.timeout_ms
         if request.timeout_ms is not None:
             limit_ms = min(limit_ms, request.timeout_ms)
         return WaitingCall(
             f"{self._process}-{next(self._numbers)}",
-            route.name,
+            account.name if account is not None and account.name else route.name,
             route.is_idempotent,
             arrived_ms + limit_ms,
             arrived_ms,
-            priority=route.priority,
+            priority=_priority(route, account),
             target_at_ms=arrived_ms + route.target_ms,
             most_attempts=route.most_attempts,
+            work_class=route.name,
         )
 
+    def _refuse(
+        self, call: Call, route: Route, reason: RefusalReason, retry_after_ms: float
+    ) -> CallResponse:
+        """Refuse a call before it waits for its service."""
+        outcome = NotRun(reason)
+        self._count(call, outcome)
+        response = self._dialect.local_response(
+            call.service,
+            outcome,
+            request_id=call.request.request_id,
+            retry_after_ms=retry_after_ms,
+        )
+        self._record_end(call, route, outcome.header, status=response.status)
+        return response
+
     def _refuse_unrouted(self, request: CallRequest, miss: NoRouteReason) -> CallResponse:
         reason = REFUSAL_BY_MISS[miss]
         self._metrics.refusals.labels(NO_SERVICE, reason.value).inc()
@@ -182,3 +225,9 @@
                 f"{step.at_ms:.0f} {step.what} {step.detail}" for step in call.explanation.steps
             ],
         )
+
+
+def _priority(route: Route, account: ClientAccount | None) -> int:
+    if account is None:
+        return route.priority
+    return combined_priority(account.priority, route.priority)
--- a/packages/cassiahaven-entry/cassiahaven_entry/routed_node.py
+++ b/packages/cassiahaven-entry/cassiahaven_entry/routed_node.py
@@ -177,6 +177,7 @@
             self._attempts,
             callers,
             metrics=self.metrics,
+            has_current_view=self._has_current_view,
         )
         caller_address = self.settings.callers
         self.frontend = HttpFrontend(
@@ -194,6 +195,12 @@
             AuxiliaryServer(self.settings.directory, self._answer_directory),
         ]
 
+    def _has_current_view(self) -> bool:
+        """Return whether calls with keys may be served: a revocation may be unknown here."""
+        if not self.settings.fails_closed:
+            return True
+        return self.fleet.store.answer_age_ms(now_ms()) <= self.settings.revocation_ms
+
     def task(self, service: str) -> ServiceTask:
         """Return the task of ``service``, with up-to-date endpoints."""
         task = self._get_or_create_task(service)
--- a/packages/cassiahaven-entry/tests/test_attempts.py
+++ b/packages/cassiahaven-entry/tests/test_attempts.py
@@ -21,6 +21,7 @@
 from cassiahaven_core.endpoint_address import EndpointAddress
 from cassiahaven_core.outcome import NotRun, Ran, Unknown
 from cassiahaven_core.quarantine import Quarantine
+from cassiahaven_core.reason import RefusalReason
 from cassiahaven_core.settings import ServiceSettings
 from cassiahaven_entry import attempts as attempts_module
 from cassiahaven_entry.attempts import AttemptRunner
@@ -88,7 +89,7 @@
 
 @pytest.fixture
 def run_call(clock):
-    def run(transport, method, *, is_streamed=False, probes_per_s=0.0):
+    def run(transport, method, *, is_streamed=False, probes_per_s=0.0, check=lambda call: None):
         task = ServiceTask("lookup", "zone-a")
         task.health_path = "/health"
         task.policy.probes_per_s = probes_per_s
@@ -109,7 +110,8 @@
         request = CallRequest(
             "lookup", method, "/x", (), b"", None, None, None, arrived_ms=now_ms()
         )
-        finished = runner.run(Call.to_service(request, SERVICE, "parish", "call-1"), task)
+        call = Call.to_service(request, SERVICE, "parish", "call-1")
+        finished = runner.run(call, task, check=check)
         in_flight = [item.in_flight for item in task.policy.pool.endpoint_by_id.values()]
         assert is_streamed or not any(in_flight)
         return finished
@@ -119,6 +121,16 @@
     return run
 
 
+@pytest.mark.parametrize("sent", [0, 1])
+def test_call_whose_key_is_revoked_is_not_sent_again(run_call, sent):
+    # The key may be revoked while the call waits for a slot, is probed for, or is retried.
+    refusals = iter([None] * sent + [RefusalReason.UNAUTHENTICATED])
+    transport = ScriptedTransport([ENDINGS[3], ENDINGS[0]])
+    finished = run_call(transport, "GET", check=lambda call: next(refusals))
+    assert finished.outcome == NotRun(RefusalReason.UNAUTHENTICATED)
+    assert len(transport.may_have_run) == sent
+
+
 @pytest.mark.parametrize("method", ["GET", "POST"])
 @pytest.mark.parametrize("endings", list(product(ENDINGS, repeat=2)), ids=str)
 def test_outcome_matches_what_ran_for_every_pair_of_attempts(run_call, method, endings):
--- a/packages/cassiahaven-standins/cassiahaven_standins/pipelining_caller.py
+++ b/packages/cassiahaven-standins/cassiahaven_standins/pipelining_caller.py
@@ -16,6 +16,7 @@
 
     Attributes:
         chunk_bytes: Length of the chunks in which the body is sent; 0 to send its length instead.
+        headers: Further headers.
     """
 
     method: str
@@ -25,6 +26,7 @@
     version: str = "HTTP/1.1"
     chunk_bytes: int = 0
     closes: bool = False
+    headers: tuple[tuple[str, str], ...] = ()
 
     def encode(self, *, deadline_ms: int) -> bytes:
         """Return the request as it is sent."""
@@ -33,6 +35,7 @@
             "Host: h.example",
             f"Request-Id: {self.request}",
             f"Deadline-Ms: {deadline_ms}",
+            *(f"{name}: {value}" for name, value in self.headers),
         ]
         if self.closes:
             lines.append("Connection: close")
--- a/packages/cassiahaven-standins/cassiahaven_standins/platform_endpoint.py
+++ b/packages/cassiahaven-standins/cassiahaven_standins/platform_endpoint.py
@@ -62,6 +62,7 @@
             health check.
         received_requests: Ids of the requests received, including rejected ones.
         arrivals: Time and id of each of them.
+        received_headers: Id and headers of each of them, as they were sent.
         ran: Id, start time and path of each request that was run.
         cancelled_requests: Ids of the requests whose caller disconnected while they ran.
     """
@@ -85,6 +86,7 @@
         self.leaving_responses: list[tuple[float, str]] = []
         self.received_requests: list[str] = []
         self.arrivals: list[tuple[float, str]] = []
+        self.received_headers: list[tuple[str, list[tuple[str, str]]]] = []
         self.ran: list[tuple[str, float, str]] = []
         self.cancelled_requests: list[str] = []
         self.running = 0
@@ -125,6 +127,7 @@
         request = self.headers["Request-Id"]
         state.received_requests.append(request)
         state.arrivals.append((time.monotonic(), request))
+        state.received_headers.append((request, self.headers.items()))
         if self.headers["Target-Instance"] != state.endpoint:
             self._send(421, b"", {"Instance-Id": state.endpoint})
             return
--- a/packages/cassiahaven-standins/cassiahaven_standins/platform_fleet.py
+++ b/packages/cassiahaven-standins/cassiahaven_standins/platform_fleet.py
@@ -19,6 +19,7 @@
 ZONES = ("a", "b")
 GRACE_MS = 2500
 MEMORY_MB = 300
+ACCOUNT_COLUMNS = ("name", "apiKeys", "priority", "ratePerS", "burst")
 
 
 class Entry:
@@ -33,11 +34,13 @@
         *,
         grace_ms: int = GRACE_MS,
         python: str = sys.executable,
+        bounds: tuple[str, ...] = (),
     ) -> None:
         self.name = name
         self.zone = zone
         self._grace_ms = grace_ms
         self._python = python
+        self._bounds = bounds
         self._path = folder / f"{name}.json"
         self.log_path = folder / f"{name}.log"
         front, ready, directory, peers, self.metrics_port = (free_port() for _ in range(5))
@@ -66,6 +69,7 @@
                 "budgetWindow=10s",
                 "budgetSlack=60",
                 "probesPerS=60",
+                *self._bounds,
             ],
             "platform": {"address": store},
         }
@@ -135,6 +139,7 @@
         has_proxies: Whether each entry reaches the store through a proxy.
         has_peer_proxies: Whether the other entries reach each entry through a proxy.
         python: Interpreter of the entries.
+        bounds: Further bounds in the entries' settings, such as ``failClosed=true``.
     """
 
     def __init__(
@@ -146,6 +151,7 @@
         has_peer_proxies: bool = False,
         grace_ms: int = GRACE_MS,
         python: str = sys.executable,
+        bounds: tuple[str, ...] = (),
     ) -> None:
         self.store = PlatformStore()
         host, _, port = self.store.address.partition(":")
@@ -160,6 +166,7 @@
                 folder,
                 grace_ms=grace_ms,
                 python=python,
+                bounds=bounds,
             )
             for n in range(entries)
         ]
@@ -198,12 +205,24 @@
         timeout_ms: int = 2000,
         target_ms: int = 300,
         largest_body_bytes: int = 1_000_000,
+        accounts: list[list[Any]] | None = None,
+        anonymous: frozenset[str] = frozenset(),
     ) -> int:
-        """Store a configuration with a route of each kind for each prefix."""
+        """Store a configuration with a route of each kind for each prefix.
+
+        Args:
+            service_by_prefix: Service of the routes of each prefix.
+            timeout_ms: Timeout of each route.
+            target_ms: Target latency of each route.
+            largest_body_bytes: Largest body that callers may send.
+            accounts: Rows of the table of client accounts, ``None`` for no such table.
+            anonymous: Prefixes whose routes need no key.
+        """
         self.version += 3
         columns = [
             *("name", "hostname", "pathPrefix", "kind", "timeout"),
             *("targetLatency", "priority", "maxAttempts", "service"),
+            "allowAnonymous",
         ]
         rows = [
             [
@@ -216,6 +235,7 @@
                 1,
                 2,
                 service,
+                prefix in anonymous,
             ]
             for prefix, service in service_by_prefix.items()
             for kind in ("safe", "unsafe", "download")
@@ -235,6 +255,8 @@
                 "idleTimeout": "15000ms",
             },
         }
+        if accounts is not None:
+            spec["tenants"] = {"columns": list(ACCOUNT_COLUMNS), "rows": accounts}
         return self.store.state.put("config", "main", spec)
 
     def start(self) -> None:
@@ -252,16 +274,18 @@
         request: str,
         body: bytes = b"",
         deadline_ms: int = 2000,
+        headers: dict[str, str] | None = None,
     ) -> tuple[int, bytes, dict[str, str]]:
         """Send a call and return status, body and headers; status 0 means a broken connection."""
         connection = http.client.HTTPConnection("127.0.0.1", entry.front_port, timeout=10)
-        headers = {
+        sent_headers = {
             "Host": "h.example",
             "Request-Id": request,
             "Deadline-Ms": str(deadline_ms),
+            **(headers or {}),
         }
         try:
-            connection.request(method, target, body=body or None, headers=headers)
+            connection.request(method, target, body=body or None, headers=sent_headers)
             response = connection.getresponse()
             return response.status, response.read(), dict(response.getheaders())
         except (OSError, http.client.HTTPException):
--- a/tests/test_platform_translation.py
+++ b/tests/test_platform_translation.py
@@ -320,6 +320,7 @@
         "HTTP_DEADLINE_MS": "1200",
         "HTTP_REQUEST_ID": "r1",
         "cassiahaven.target": "/a/%2f?x=1",
+        "headers_raw": (("Host", "H.example:80"),),
     }
     read = callers.read_head(environ)
     assert (read.host, read.target, read.timeout_ms) == ("h.example", "/a/%2f?x=1", 1200)
