Send cold endpoints no more than they bear, over all entries

Cause: an endpoint with coldPerS crashes well above that rate while it is cold, and each entry filled its slots as soon as it was listed. Change: cold_start.py divides coldPerS among the entries that serve callers. A share shrinks at once and grows 1.5 s later; an entry without contact to more than half of the fleet has none, unless the fleet fits into the slack. Probes take calls of the same bucket. A cold endpoint counts as its rate, not as slots. After it, calls in flight grow by one for each success. Services without coldPerS are as before.

--- a/packages/cassiahaven-core/cassiahaven_core/closure.py
+++ b/packages/cassiahaven-core/cassiahaven_core/closure.py
@@ -7,6 +7,7 @@
 
 MAX_CLOSURE_MS = 300_000.0  # bounds what a mistaken value costs; a call then finds out anew
 REOPENING_CALLS = 2
+FIRST_CALLS = 1  # to an endpoint that starts or returns, of which all entries learn at once
 _DECIMAL = re.compile(r"\d+(?:\.\d+)?", re.ASCII)
 
 
@@ -38,6 +39,13 @@
         self.ends_ms = now_ms + min(asked_ms, MAX_CLOSURE_MS)
         self.room = REOPENING_CALLS
 
+    @classmethod
+    def ended(cls, now_ms: float) -> "Closure":
+        """Return one that ends now, for an endpoint that is to take its usual load step by step."""
+        closure = cls(0.0, now_ms)
+        closure.room = FIRST_CALLS
+        return closure
+
     def left_ms(self, now_ms: float) -> float:
         """Return the time until its end, 0 after it."""
         return max(0.0, self.ends_ms - now_ms)
--- a/packages/cassiahaven-core/cassiahaven_core/edge.py
+++ b/packages/cassiahaven-core/cassiahaven_core/edge.py
@@ -221,6 +221,7 @@
         instance: Name of the endpoint that answered, ``None`` if the response does not tell.
         closed_for_ms: Time for which it wants no requests, ``None`` if it does not say.
         unreadable_closure: Text of such a time that cannot be read, ``None`` otherwise.
+        cold_ms: Remaining time for which the endpoint is cold, ``None`` if it does not say.
     """
 
     load: LoadReport | None = None
@@ -234,6 +235,7 @@
     instance: str | None = None
     closed_for_ms: float | None = None
     unreadable_closure: str | None = None
+    cold_ms: float | None = None
 
 
 class UpstreamDialect(ABC):
--- a/packages/cassiahaven-core/cassiahaven_core/endpoint.py
+++ b/packages/cassiahaven-core/cassiahaven_core/endpoint.py
@@ -59,12 +59,14 @@
         waiting: Calls in the endpoint's own queue.
         slowdown: Current slowdown factor of the endpoint's VM, 1 if normal.
         is_leaving: Whether the endpoint says that it leaves.
+        cold_ms: Remaining time for which it is cold, ``None`` if it does not say.
     """
 
     running: int
     waiting: int = 0
     slowdown: float = 1.0
     is_leaving: bool = False
+    cold_ms: float | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -75,12 +77,14 @@
         is_leaving: Whether the endpoint answered that it leaves.
         closed_for_ms: Time for which it wants no requests, ``None`` if it does not say.
         unreadable_closure: Text of such a time that cannot be read, ``None`` otherwise.
+        cold_ms: Remaining time for which it is cold, ``None`` if it does not say.
     """
 
     detail: str
     is_leaving: bool = False
     closed_for_ms: float | None = None
     unreadable_closure: str | None = None
+    cold_ms: float | None = None
 
 
 @dataclass(slots=True)
@@ -92,6 +96,7 @@
         is_sent: Whether the call was sent, so that load reports may include it.
         is_nearly_full: Whether the call occupies one of the endpoint's last slots.
         is_rate_limited: Whether the call was counted against the endpoint's rate limit.
+        is_cold: Whether the call was counted against what the cold endpoint bears.
     """
 
     partner: str
@@ -101,6 +106,7 @@
     is_sent: bool = False
     is_nearly_full: bool = False
     is_rate_limited: bool = False
+    is_cold: bool = False
 
 
 @dataclass(slots=True)
--- a/packages/cassiahaven-core/cassiahaven_core/endpoint_address.py
+++ b/packages/cassiahaven-core/cassiahaven_core/endpoint_address.py
@@ -14,6 +14,7 @@
         incarnation: Identifier that changes each time the upstream process starts.
         distance_ms: One-way network latency from this entry, milliseconds.
         warm_up_ms: Warm-up time after the endpoint is first listed, milliseconds.
+        cold_ends_ms: Time until which it bears few calls, as far as its listing tells.
     """
 
     endpoint: str
@@ -24,3 +25,4 @@
     slots: int
     distance_ms: float = 0.0
     warm_up_ms: float = DEFAULT_WARM_UP_MS
+    cold_ends_ms: float = float("-inf")
--- a/packages/cassiahaven-core/cassiahaven_core/endpoint_gate.py
+++ b/packages/cassiahaven-core/cassiahaven_core/endpoint_gate.py
@@ -1,4 +1,4 @@
-"""What one endpoint admits from this entry: its slots, its rate limit, and when it is closed."""
+"""What one endpoint admits from this entry: slots, rate limit, and when it is closed or cold."""
 
 import math
 from collections import deque
@@ -7,6 +7,7 @@
 from zlib import crc32
 
 from cassiahaven_core.closure import Closure
+from cassiahaven_core.cold_start import ColdStart
 from cassiahaven_core.endpoint_address import EndpointAddress
 from cassiahaven_core.rate_limit import (
     NOTICE_GUARD_MS,
@@ -52,7 +53,7 @@
 
 @dataclass(slots=True)
 class EndpointGate:
-    """Slots, rate limit and closure of one endpoint, as far as they concern this entry.
+    """Slots, rate limit, closure and cold start of one endpoint, as far as they concern this entry.
 
     Attributes:
         limit: In-flight limit of this entry at the endpoint.
@@ -63,6 +64,7 @@
         unreadable_rate_limit: Text of its last rate limit if that cannot be read, else ``None``.
         closure: Time for which it wants no requests, ``None`` once it takes its usual load again.
         unreadable_closure: Text of the last such time that cannot be read, ``None`` for none.
+        cold: Calls that it gets while it is cold, ``None`` if it is warm.
     """
 
     limit: int = 0
@@ -73,18 +75,27 @@
     unreadable_rate_limit: str | None = None
     closure: Closure | None = None
     unreadable_closure: str | None = None
+    cold: ColdStart | None = None
 
     @property
     def rate_limit_per_s(self) -> float:
         """Return the calls a second that the endpoint takes from all entries together."""
         return self.rate_limit.limit_per_s if self.rate_limit is not None else UNLIMITED
 
+    @property
+    def rate_per_s(self) -> float:
+        """Return the calls a second of this entry to the endpoint, infinite without a limit."""
+        rate_per_s = self.rate_limit.rate_per_s if self.rate_limit is not None else UNLIMITED
+        return min(rate_per_s, self.cold.rate_per_s) if self.cold is not None else rate_per_s
+
     def opens_in_ms(self, now_ms: float) -> float:
-        """Return the time until rate limit and closure let a call through, 0 without them."""
-        closed_for_ms = self.closed_for_ms(now_ms)
+        """Return the time until rate limit, closure and cold start let a call through."""
+        opens_in_ms = self.closed_for_ms(now_ms)
+        if self.cold is not None:
+            opens_in_ms = max(opens_in_ms, self.cold.opens_in_ms(now_ms))
         if self.rate_limit is None:
-            return closed_for_ms
-        return max(closed_for_ms, self.rate_limit.opens_in_ms(self.sent_ms, now_ms))
+            return opens_in_ms
+        return max(opens_in_ms, self.rate_limit.opens_in_ms(self.sent_ms, now_ms))
 
     def closed_for_ms(self, now_ms: float) -> float:
         """Return the time until the closure ends, 0 without one."""
@@ -95,6 +106,19 @@
         self.closure = Closure(asked_ms, now_ms)
         self.unreadable_closure = None
 
+    def reopen(self, now_ms: float) -> None:
+        """Let the endpoint take its usual load step by step from now on."""
+        if self.closure is None:
+            self.closure = Closure.ended(now_ms)
+
+    def end_cold(self, now_ms: float) -> bool:
+        """Return whether the endpoint has become warm since the last check, and apply that."""
+        if self.cold is None or now_ms < self.cold.ends_ms:
+            return False
+        self.cold = None
+        self.reopen(now_ms)
+        return True
+
     def record_success(self, started_ms: float) -> None:
         """Record a call that succeeded, which opens a closed endpoint step by step."""
         if self.closure is not None:
@@ -109,9 +133,13 @@
             self.sent_ms.popleft()
         if self.rate_limit is not None:
             self.rate_limit.take(now_ms)
+        if self.cold is not None:
+            self.cold.take(now_ms)
 
-    def give_back(self, counted_ms: float, *, is_rate_limited: bool) -> None:
+    def give_back(self, counted_ms: float, *, is_rate_limited: bool, is_cold: bool = False) -> None:
         """Undo the record of a call that was not sent."""
+        if is_cold and self.cold is not None:
+            self.cold.give_back()
         if counted_ms in self.sent_ms:
             self.sent_ms.remove(counted_ms)
         if is_rate_limited and self.rate_limit is not None:
--- a/packages/cassiahaven-core/cassiahaven_core/pool.py
+++ b/packages/cassiahaven-core/cassiahaven_core/pool.py
@@ -4,6 +4,7 @@
 from collections import Counter
 from random import Random
 
+from cassiahaven_core.cold_start import ColdShare, ColdStart
 from cassiahaven_core.endpoint import (
     FAILED_RESULTS,
     CallResult,
@@ -19,7 +20,6 @@
 from cassiahaven_core.rate_limit import (
     MS_PER_S,
     NOTICE_LIFETIME_MS,
-    UNLIMITED,
     RateShare,
 )
 from cassiahaven_core.slot_limit import NEARLY_FULL_SHARE, AdaptiveSlotLimit
@@ -67,6 +67,8 @@
         "_typical_slowdown",
         "_slot_limit",
         "_rate_share",
+        "_cold_per_s",
+        "_cold_share",
         "_delisted_gates",
     )
 
@@ -82,6 +84,8 @@
         self._typical_slowdown = 1.0
         self._slot_limit = AdaptiveSlotLimit()
         self._rate_share = RateShare()
+        self._cold_per_s = 0.0
+        self._cold_share = ColdShare()
         self._delisted_gates: dict[tuple[str, str], EndpointGate] = {}
 
     def set_endpoints(
@@ -103,7 +107,10 @@
             if known is not None and known.address.incarnation == address.incarnation:
                 if known.address.warm_up_ms != address.warm_up_ms:
                     known.warm_up_ends_ms = now_ms + address.warm_up_ms
+                is_cold_again = known.address.cold_ends_ms != address.cold_ends_ms
                 known.address = address
+                if is_cold_again:
+                    self._extend_cold(known, now_ms)
                 continue
             warm_up_ends_ms = now_ms + address.warm_up_ms
             self.endpoint_by_id[name] = Endpoint(
@@ -113,6 +120,7 @@
                 gate=self._delisted_gates.pop((name, address.incarnation), None) or EndpointGate(),
             )
             self._ejected.discard(name)
+            self._extend_cold(self.endpoint_by_id[name], now_ms)
             leaving = self.leaving.find(name, address.incarnation)
             if leaving is not None:
                 upheld.append(address)
@@ -140,6 +148,54 @@
             if limit is not None:
                 limit.change(limit.limit_per_s, share, now_ms)
 
+    def set_cold_limit(self, cold_per_s: float, now_ms: float) -> None:
+        """Set the calls a second that a cold endpoint bears, 0 for no limit."""
+        if cold_per_s == self._cold_per_s:
+            return
+        self._cold_per_s = cold_per_s
+        for endpoint in self.endpoint_by_id.values():
+            if not cold_per_s:
+                endpoint.gate.cold = None
+            elif endpoint.gate.cold is None:
+                self._extend_cold(endpoint, now_ms)
+        self.set_cold_share(self._cold_share, now_ms)
+
+    def set_cold_share(self, share: ColdShare, now_ms: float) -> None:
+        """Set this entry's share of the calls to cold endpoints, and end what is over."""
+        self._cold_share = share
+        if not self._cold_per_s:
+            return
+        for endpoint in self.endpoint_by_id.values():
+            self._end_cold(endpoint, now_ms)
+            cold = endpoint.gate.cold
+            if cold is not None:
+                cold.change(self._cold_rate_per_s(endpoint), share.ends_ms, now_ms)
+
+    def record_cold(self, name: str, incarnation: str, left_ms: float, now_ms: float) -> None:
+        """Apply the remaining cold time that an endpoint named itself, 0 if it is warm."""
+        endpoint = self.endpoint_by_id.get(name)
+        if endpoint is None or endpoint.address.incarnation != incarnation:
+            return
+        if left_ms > 0:
+            self._set_cold(endpoint, now_ms + left_ms, now_ms)
+        elif endpoint.gate.cold is not None:
+            endpoint.gate.cold.ends_ms = now_ms
+            endpoint.warm_up_ends_ms = now_ms
+            self._end_cold(endpoint, now_ms)
+
+    def is_cold(self, name: str) -> bool:
+        """Return whether an endpoint is cold and its calls are limited."""
+        endpoint = self.endpoint_by_id.get(name)
+        return endpoint is not None and endpoint.gate.cold is not None
+
+    def cold_left_ms_by_name(self, now_ms: float) -> dict[str, float]:
+        """Return the remaining time of each cold endpoint whose calls are limited."""
+        return {
+            name: endpoint.gate.cold.ends_ms - now_ms
+            for name, endpoint in self.endpoint_by_id.items()
+            if endpoint.gate.cold is not None and now_ms < endpoint.gate.cold.ends_ms
+        }
+
     def handle(self, name: str, event: EndpointEvent, reason: str, now_ms: float) -> bool:
         """Apply a lifecycle event and return whether the endpoint's status changed."""
         endpoint = self.endpoint_by_id.get(name)
@@ -192,7 +248,7 @@
         return bool(self._serving)
 
     def opens_in_ms(self, now_ms: float, tried: frozenset[str] = frozenset()) -> float:
-        """Return the time until rate limit and closure of some endpoint let a call through.
+        """Return the time until the gate of some endpoint lets a call through.
 
         Args:
             now_ms: Current time, milliseconds.
@@ -206,9 +262,10 @@
         for endpoint in self._serving:
             if endpoint.address.endpoint in tried:
                 continue
-            if endpoint.gate.rate_limit is None and endpoint.gate.closure is None:
+            gate = endpoint.gate
+            if gate.rate_limit is None and gate.closure is None and gate.cold is None:
                 return 0.0
-            soonest = min(soonest, endpoint.gate.opens_in_ms(now_ms))
+            soonest = min(soonest, gate.opens_in_ms(now_ms))
         return soonest
 
     def closed_for_ms(self, now_ms: float, tried: frozenset[str] = frozenset()) -> float:
@@ -272,13 +329,14 @@
                 limit = 0.0 if is_closed else min(limit, endpoint.gate.closure.room)
             if endpoint.gate.rate_limit is not None:
                 limit = min(limit, endpoint.gate.rate_limit.rate_per_s * latency_ms / MS_PER_S)
+            if endpoint.gate.cold is not None and now_ms < endpoint.gate.cold.ends_ms:
+                limit = min(limit, endpoint.gate.cold.rate_per_s * latency_ms / MS_PER_S)
             slots += limit
         return slots
 
     def serving_rate_per_s(self) -> float:
         """Return the calls a second of this entry at all serving endpoints, if all are limited."""
-        limits = [endpoint.gate.rate_limit for endpoint in self._serving]
-        return sum(UNLIMITED if limit is None else limit.rate_per_s for limit in limits)
+        return sum(endpoint.gate.rate_per_s for endpoint in self._serving)
 
     def has_due_trial(self, now_ms: float) -> bool:
         """Return whether an ejected endpoint is due for a trial with one idempotent call."""
@@ -314,6 +372,10 @@
         best_cost = float("inf")
         for endpoint in self._serving:
             gate = endpoint.gate
+            if gate.cold is not None:
+                self._end_cold(endpoint, now_ms)
+                if gate.cold is not None and gate.cold.opens_in_ms(now_ms) > 0:
+                    continue
             limit = min(self._slot_limit.limit(gate.limit), gate.room)
             if len(endpoint.in_flight_by_call_id) >= limit:
                 continue
@@ -369,6 +431,7 @@
             slowdown,
             is_nearly_full=taken + 1 > endpoint.address.slots * NEARLY_FULL_SHARE,
             is_rate_limited=endpoint.gate.rate_limit is not None,
+            is_cold=endpoint.gate.cold is not None,
         )
         endpoint.gate.count_sent(now_ms)
 
@@ -381,11 +444,14 @@
         if started is None:
             return
         if not started.is_sent:
-            endpoint.gate.give_back(started.at_ms, is_rate_limited=started.is_rate_limited)
+            self._give_back(endpoint, started)
         if result is CallResult.UNANSWERED or (
             result is CallResult.TIMEOUT and self._is_unexplained(endpoint, started, now_ms)
         ):
             endpoint.gate.room = max(1.0, min(endpoint.gate.room, float(endpoint.in_flight)))
+        if result is CallResult.CONNECT_FAILED and self._cold_per_s:
+            # A process that starts anew under the old registration is cold before that is known.
+            endpoint.gate.reopen(now_ms)
         if result is CallResult.OK:
             self._record_success(endpoint, started, now_ms)
         elif result is CallResult.REFUSED and endpoint.gate.closed_for_ms(now_ms):
@@ -484,6 +550,9 @@
         if endpoint.gate.rate_limit is not None or endpoint.gate.closed_for_ms(now_ms):
             # A probe is a request too, and the endpoint asks for fewer or none.
             return False
+        if endpoint.gate.cold is not None:
+            # It would take the place of a call, whose answer tells as much.
+            return False
         earned = (now_ms - endpoint.probe_refilled_ms) / MS_PER_S * rate_per_s
         endpoint.probe_refilled_ms = now_ms
         endpoint.probe_tokens = min(max(1.0, rate_per_s), endpoint.probe_tokens + earned)
@@ -507,7 +576,7 @@
         started = endpoint.in_flight_by_call_id.pop(call_id, None) if endpoint is not None else None
         if started is None:
             return None
-        endpoint.gate.give_back(started.at_ms, is_rate_limited=started.is_rate_limited)
+        self._give_back(endpoint, started)
         best = self.choose(now_ms, idempotent=False, excluded=excluded | {name})
         if best is not None and self._cost(best, now_ms) < self._cost(endpoint, now_ms):
             self.start(best, call_id, started.partner, now_ms)
@@ -515,6 +584,45 @@
         self.start(endpoint, call_id, started.partner, now_ms)
         return None
 
+    def _give_back(self, endpoint: Endpoint, started: InFlightCall) -> None:
+        endpoint.gate.give_back(
+            started.at_ms, is_rate_limited=started.is_rate_limited, is_cold=started.is_cold
+        )
+
+    def _cold_rate_per_s(self, endpoint: Endpoint) -> float:
+        zone = endpoint.address.availability_zone
+        return self._cold_share.rate_per_s(self._cold_per_s, zone)
+
+    def _extend_cold(self, endpoint: Endpoint, now_ms: float) -> None:
+        """Apply the cold time that the endpoint's listing tells."""
+        ends_ms = endpoint.address.cold_ends_ms
+        if endpoint.gate.cold is not None:
+            ends_ms = max(ends_ms, endpoint.gate.cold.ends_ms)
+        if ends_ms > now_ms:
+            self._set_cold(endpoint, ends_ms, now_ms)
+
+    def _set_cold(self, endpoint: Endpoint, ends_ms: float, now_ms: float) -> None:
+        if not self._cold_per_s:
+            return
+        endpoint.warm_up_ends_ms = ends_ms
+        if endpoint.gate.cold is not None:
+            endpoint.gate.cold.ends_ms = ends_ms
+            return
+        in_flight = endpoint.in_flight_by_call_id.values()
+        endpoint.gate.cold = ColdStart(
+            ends_ms,
+            self._cold_rate_per_s(endpoint),
+            self._cold_share.ends_ms,
+            unsent=sum(not started.is_sent for started in in_flight),
+            now_ms=now_ms,
+        )
+
+    def _end_cold(self, endpoint: Endpoint, now_ms: float) -> None:
+        if endpoint.gate.end_cold(now_ms):
+            # All entries learn it at about the same time: no probes that were saved up meanwhile.
+            endpoint.probe_tokens = 0.0
+            endpoint.probe_refilled_ms = now_ms
+
     def _cost(self, endpoint: Endpoint, now_ms: float) -> float:
         return endpoint.cost(self._typical_slowdown, now_ms)
 
@@ -597,13 +705,13 @@
         return now_ms + NOTICE_LIFETIME_MS * (1 + self._rng.random())
 
     def _keep_gate(self, endpoint: Endpoint) -> None:
-        """Keep the limit and closure of an endpoint whose registration may come back."""
+        """Keep the limits and closure of an endpoint whose registration may come back."""
         gate = endpoint.gate
-        if gate.rate_limit is None and gate.closure is None:
+        if gate.rate_limit is None and gate.closure is None and gate.cold is None:
             return
         kept = self._delisted_gates
         kept[endpoint.address.endpoint, endpoint.address.incarnation] = EndpointGate(
-            rate_limit=gate.rate_limit, closure=gate.closure
+            rate_limit=gate.rate_limit, closure=gate.closure, cold=gate.cold
         )
         if len(kept) > MAX_DELISTED_GATES:
             del kept[next(iter(kept))]
--- a/packages/cassiahaven-entry/cassiahaven_entry/attempts.py
+++ b/packages/cassiahaven-entry/cassiahaven_entry/attempts.py
@@ -176,6 +176,8 @@
         task.policy.pool.mark_sent(address.endpoint, call.call_id)
         if task.policy.pool.is_rate_limited(address.endpoint):
             self._metrics.calls_to_rate_limited.labels(call.service).inc()
+        if task.policy.pool.is_cold(address.endpoint):
+            self._metrics.calls_to_cold.labels(call.service, "call").inc()
         ended: Finished | SendFailed | None = None
         try:
             patience_ms = task.policy.answer_patience_ms(
@@ -294,6 +296,7 @@
             self._apply_closure(
                 task, address, signal.closed_for_ms, signal.unreadable_closure, call.call_id
             )
+            task.record_cold(address, signal.cold_ms)
 
     def apply_probe(
         self, task: ServiceTask, address: EndpointAddress, report: LoadReport | ProbeFailed
@@ -301,6 +304,7 @@
         """Apply what an endpoint said of itself in its answer to a probe."""
         if report.is_leaving:
             self._record_leaving(task, address, HEALTH_CHECK)
+        task.record_cold(address, report.cold_ms)
         if isinstance(report, ProbeFailed):
             self._apply_closure(task, address, report.closed_for_ms, report.unreadable_closure)
 
--- a/packages/cassiahaven-entry/cassiahaven_entry/metrics.py
+++ b/packages/cassiahaven-entry/cassiahaven_entry/metrics.py
@@ -110,6 +110,12 @@
         self.rate_limited_endpoints = self._gauge(
             "rate_limited_endpoints", "Endpoints that name a rate limit"
         )
+        self.cold_endpoints = self._gauge(
+            "cold_endpoints", "Endpoints whose calls are limited while they are cold"
+        )
+        self.calls_to_cold = self._counter(
+            "calls_to_cold", "Calls and probes sent to such endpoints", "service", "kind"
+        )
         self.rejected_rows = self._gauge(
             "rejected_rows", "Rows of the configuration in force that cannot be used"
         )
--- a/packages/cassiahaven-entry/cassiahaven_entry/routed_node.py
+++ b/packages/cassiahaven-entry/cassiahaven_entry/routed_node.py
@@ -1,12 +1,14 @@
 """Components of an entry that reads routes and endpoints from the fleet's store."""
 
 import secrets
+import time
 from collections.abc import Collection, Iterator
 from contextlib import contextmanager
 
 import eventlet
 from eventlet.greenthread import GreenThread
 
+from cassiahaven_core.cold_start import ColdListings, ColdShare, ColdShares, has_contact
 from cassiahaven_core.edge import CallResponse, StoreUnavailable, Topic
 from cassiahaven_core.endpoint_address import EndpointAddress
 from cassiahaven_core.finding import InvalidDocument
@@ -83,6 +85,9 @@
         self._outdated_services: set[str] = set()
         self._live: set[str] = set()
         self._serving: dict[str, str] = {}
+        self._cold_listings = ColdListings()
+        self._cold_shares = ColdShares(settings.name, settings.region_by_zone, settings.cold_slack)
+        self._cold_share = ColdShare({}, 0.0)
         self._serving_inputs: tuple[object, ...] = ()
         self._started_ms = now_ms()
         self.process = f"{settings.name}-{secrets.token_hex(PROCESS_NAME_BYTES)}"
@@ -131,6 +136,12 @@
                 for task in self._task_by_service.values()
             )
         )
+        self.metrics.cold_endpoints.set_function(
+            lambda: sum(
+                len(task.policy.pool.cold_left_ms_by_name(now_ms()))
+                for task in self._task_by_service.values()
+            )
+        )
         self.metrics.kept_endpoints.set_function(lambda: len(self.view.registry.kept_endpoints))
         state = LinkCallbacks(
             report=self._report,
@@ -215,6 +226,7 @@
             self._task_by_service[service] = task
             task.policy.retry_budget.limits = self._retry_limits()
             task.policy.probes_per_s = self.settings.probes_per_s * PROBE_SHARE
+            task.set_cold_share(self._cold_share)
             self._outdated_services.add(service)
             task.set_table(self.tables.table_by_service[service])
         return task
@@ -240,6 +252,9 @@
         log(LogEvent.ENTRY_STOPPING, process=self.process)
         started_ms = now_ms()
         self.is_draining = True
+        self._cold_share = ColdShare({}, 0.0)
+        for task in self._task_by_service.values():
+            task.set_cold_share(self._cold_share)
         self.frontend.is_closing = True
         self.fleet.draining.add(self.settings.name)
         self.links.publish_report()
@@ -320,7 +335,10 @@
     def _on_config(self, config: GatewayConfig) -> None:
         self.metrics.rejected_rows.set(len(config.rejected))
         for spec in config.service_by_name.values():
-            self._get_or_create_task(spec.name).health_path = spec.health_path
+            task = self._get_or_create_task(spec.name)
+            task.health_path = spec.health_path
+            task.policy.pool.set_cold_limit(spec.cold_per_s, now_ms())
+            self._outdated_services.add(spec.name)  # the time after a start may have changed
         self.links.publish_report()
 
     def _apply_table(self, table: ServiceTable, source: str) -> None:
@@ -333,6 +351,7 @@
             task.set_table(table)
 
     def _on_endpoints(self, registrations: Collection[Registration]) -> None:
+        self._cold_listings.observe(registrations, now_ms(), time.time() * MS_PER_S)
         before = self._registrations_by_service
         self._registrations_by_service = {}
         for item in registrations:
@@ -374,8 +393,16 @@
             item.slots,
             distance_ms,
             item.cold_ms,
+            self._cold_ends_ms(item),
         )
 
+    def _cold_ends_ms(self, item: Registration) -> float:
+        config = self.routing.config
+        spec = config.service_by_name.get(item.service) if config is not None else None
+        if spec is None or not spec.cold_per_s:
+            return float("-inf")
+        return self._cold_listings.ends_ms(item, spec.cold_ms)
+
     def _retry_limits(self) -> RetryLimits:
         return RetryLimits(
             share=self.settings.retry_share * RETRY_SHARE_USED,
@@ -424,6 +451,7 @@
             self._log_state_changes()
             self._share_limits()
             self._share_rate_limits()
+            self._share_cold_starts()
             eventlet.sleep(HOUSEKEEPING_INTERVAL_MS / MS_PER_S)
 
     def _share_limits(self) -> None:
@@ -447,6 +475,17 @@
         for task in self._task_by_service.values():
             task.set_serving_entries(self._serving, live=len(self._live))
 
+    def _share_cold_starts(self) -> None:
+        """Divide the calls that cold endpoints bear among the entries that serve callers."""
+        self._cold_share = self._cold_shares.update(
+            self._serving,
+            members=len(self.fleet.member_by_name),
+            is_in_contact=has_contact(self.fleet, now_ms()),
+            now_ms=now_ms(),
+        )
+        for task in self._task_by_service.values():
+            task.set_cold_share(self._cold_share)
+
     def _log_state_changes(self) -> None:
         live = self.fleet.live_names(now_ms())
         if live != self._live:
@@ -478,6 +517,8 @@
 
     def _try_endpoint(self, task: ServiceTask, address: EndpointAddress) -> None:
         self.metrics.probes.labels(task.service).inc()
+        if task.policy.pool.is_cold(address.endpoint):
+            self.metrics.calls_to_cold.labels(task.service, "probe").inc()
         report = self.transport.probe(address, task.health_path, PROBE_TIMEOUT_MS)
         self._attempts.apply_probe(task, address, report)
         task.finish_probe_trial(address.endpoint, report)
--- a/packages/cassiahaven-entry/cassiahaven_entry/service_task.py
+++ b/packages/cassiahaven-entry/cassiahaven_entry/service_task.py
@@ -6,6 +6,7 @@
 
 from cassiahaven_core.admission import Admission, WaitingCall
 from cassiahaven_core.closure import MAX_CLOSURE_MS
+from cassiahaven_core.cold_start import ColdShare
 from cassiahaven_core.endpoint import CallResult, LoadReport, ProbeFailed
 from cassiahaven_core.endpoint_address import EndpointAddress
 from cassiahaven_core.endpoint_gate import SlotShare
@@ -49,6 +50,7 @@
         self._availability_zone = availability_zone
         self._table = ServiceTable(service)
         self._event_by_call: dict[str, Event] = {}
+        self._cold_names: set[str] = set()
         self._arrivals = 0
         self._demand_measured_ms = now_ms()
         self._share_history = ShareHistory(entry, availability_zone, zones, now_ms())
@@ -130,6 +132,29 @@
         share = self._share_history.update(zone_by_name, live, now_ms())
         self.policy.pool.set_rate_share(share, now_ms())
 
+    def set_cold_share(self, share: ColdShare) -> None:
+        """Set this entry's share of the calls to cold endpoints, and log which of them are."""
+        pool = self.policy.pool
+        pool.set_cold_share(share, now_ms())
+        left_ms_by_name = pool.cold_left_ms_by_name(now_ms())
+        for name in self._cold_names - left_ms_by_name.keys():
+            log(LogEvent.ENDPOINT_WARM, service=self.service, endpoint=name)
+        for name in left_ms_by_name.keys() - self._cold_names:
+            log(
+                LogEvent.ENDPOINT_COLD,
+                service=self.service,
+                endpoint=name,
+                incarnation=pool.endpoint_by_id[name].address.incarnation,
+                left_ms=round(left_ms_by_name[name]),
+                share_per_s=round(pool.endpoint_by_id[name].gate.rate_per_s, 3),
+            )
+        self._cold_names = set(left_ms_by_name)
+
+    def record_cold(self, address: EndpointAddress, left_ms: float | None) -> None:
+        """Apply the remaining cold time that an endpoint named, ``None`` if it named none."""
+        if left_ms is not None:
+            self.policy.pool.record_cold(address.endpoint, address.incarnation, left_ms, now_ms())
+
     def drain(self, endpoint: str, incarnation: str, reason: str) -> bool:
         """Stop dispatching to an endpoint incarnation; return whether its status changed."""
         known = self.policy.pool.endpoint_by_id.get(endpoint)
--- a/tests/test_platform_translation.py
+++ b/tests/test_platform_translation.py
@@ -471,3 +471,12 @@
     if status != 200:
         report = PlatformUpstreams().read_health(status, {"retry-after": text}, "i-1")
         assert (report.closed_for_ms, report.unreadable_closure) == (closed_for_ms, unreadable)
+
+
+@pytest.mark.parametrize(("text", "cold_ms"), [("1500", 1500.0), ("0", 0.0), ("soon", None)])
+@pytest.mark.parametrize("status", [200, 503])
+def test_endpoint_tells_in_answers_and_health_checks_how_long_it_is_cold(status, text, cold_ms):
+    # Guards against full load on an endpoint that became cold without a new registration.
+    headers = {"cold-remaining-ms": text}
+    assert PlatformUpstreams().read_head(status, headers, "r").cold_ms == cold_ms
+    assert PlatformUpstreams().read_health(status, headers, "e").cold_ms == cold_ms
