Return endpoints to use within two seconds of their recovery

An endpoint that could not be reached, or turned calls away, was tried again at intervals that doubled up to 30 s, kept a count of failures that made it the dearest choice for seconds after a probe had answered, and then counted as cold for 2 s more.

Trials that cost no caller its call (not-run results, probes) are now repeated every second. Failures that may have cost a call still double the interval, but a probe that finds a formerly unreachable or full endpoint usable ends the ejection. Trials by calls are at least 200 ms apart after a failed one, over all endpoints of a service. A returned endpoint gets two calls in flight and one more for each success in place of the warm-up.

--- a/packages/cassiahaven-core/cassiahaven_core/endpoint.py
+++ b/packages/cassiahaven-core/cassiahaven_core/endpoint.py
@@ -50,6 +50,9 @@
 )
 
 
+NOT_RUN_RESULTS = frozenset({CallResult.CONNECT_FAILED, CallResult.REFUSED, CallResult.REPLACED})
+
+
 @dataclass(frozen=True, slots=True)
 class LoadReport:
     """Load reported by an endpoint.
@@ -111,6 +114,10 @@
         slowness: EWMA of call latency relative to the typical latency of the partner.
         slowness_updated_ms: Time of the last successful call, which updated the slowness.
         failed_ms: Time of the last failed call.
+        ejections: Trials in a row that cost a caller its attempt, which lengthen the ejection.
+        ejected_until_ms: Time from which a call may try the endpoint.
+        probe_due_ms: Time from which a probe may try the endpoint.
+        is_unreachable: Whether the last trial found it unreachable or full, at no caller's cost.
         warm_up_ends_ms: End of the warm-up after a start.
         others_in_flight: Calls of other entries according to the last load report.
         probe_failed_ms: Time of the last failed or unanswered probe.
@@ -131,6 +138,8 @@
     consecutive_failures: int = 0
     ejections: int = 0
     ejected_until_ms: float = 0.0
+    probe_due_ms: float = 0.0
+    is_unreachable: bool = False
     reported: LoadReport | None = None
     reported_at_ms: float = float("-inf")
     others_in_flight: int = 0
--- a/packages/cassiahaven-core/cassiahaven_core/endpoint_gate.py
+++ b/packages/cassiahaven-core/cassiahaven_core/endpoint_gate.py
@@ -6,7 +6,7 @@
 from dataclasses import dataclass, field
 from zlib import crc32
 
-from cassiahaven_core.closure import Closure
+from cassiahaven_core.closure import REOPENING_CALLS, Closure
 from cassiahaven_core.endpoint_address import EndpointAddress
 from cassiahaven_core.rate_limit import (
     NOTICE_GUARD_MS,
@@ -57,6 +57,8 @@
     Attributes:
         limit: In-flight limit of this entry at the endpoint.
         room: Calls that the endpoint is believed to take, lowered by each unanswered one.
+        reopening_room: Calls in flight admitted after an ejection, one more for each success;
+            ``None`` at other times.
         rate_limit: This entry's share of the rate limit that it names, ``None`` for none.
         sent_ms: When this entry sent each of its calls within ``WINDOW_MS``.
         rate_limit_changed_ms: When this entry last learned of another rate limit.
@@ -67,6 +69,7 @@
 
     limit: int = 0
     room: float = math.inf
+    reopening_room: int | None = None
     rate_limit: RateLimit | None = None
     sent_ms: deque[float] = field(default_factory=deque)
     rate_limit_changed_ms: float = float("-inf")
@@ -79,6 +82,16 @@
         """Return the calls a second that the endpoint takes from all entries together."""
         return self.rate_limit.limit_per_s if self.rate_limit is not None else UNLIMITED
 
+    @property
+    def most_in_flight(self) -> float:
+        """Return the calls in flight up to which slots and believed room allow one more."""
+        most = min(self.limit, self.room)
+        return most if self.reopening_room is None else min(most, self.reopening_room)
+
+    def reopen(self) -> None:
+        """Start the return to the usual load after an ejection."""
+        self.reopening_room = REOPENING_CALLS
+
     def opens_in_ms(self, now_ms: float) -> float:
         """Return the time until rate limit and closure let a call through, 0 without them."""
         closed_for_ms = self.closed_for_ms(now_ms)
@@ -97,6 +110,10 @@
 
     def record_success(self, started_ms: float) -> None:
         """Record a call that succeeded, which opens a closed endpoint step by step."""
+        if self.reopening_room is not None:
+            self.reopening_room += 1
+            if self.reopening_room > self.limit:
+                self.reopening_room = None
         if self.closure is not None:
             self.closure.record_success(started_ms)
             if self.closure.room > self.limit:
--- a/packages/cassiahaven-core/cassiahaven_core/pool.py
+++ b/packages/cassiahaven-core/cassiahaven_core/pool.py
@@ -6,6 +6,7 @@
 
 from cassiahaven_core.endpoint import (
     FAILED_RESULTS,
+    NOT_RUN_RESULTS,
     CallResult,
     Endpoint,
     InFlightCall,
@@ -29,10 +30,12 @@
 INITIAL_PARTNER_LATENCY_MS = 5.0
 MAX_SLOWNESS = 50.0
 FAILURES_BEFORE_EJECTION = 3
-BASE_EJECTION_MS = 1000.0
+BASE_EJECTION_MS = 1000.0  # an endpoint is to be back in use within 2 s of its recovery
 MAX_EJECTION_MS = 30_000.0
 MAX_EJECTED_SHARE = 0.5
 CALL_TRIAL_HEAD_START_MS = 200.0  # a trial by an idempotent call tells more than one by a probe
+# Bounds the retries that trials cost while many endpoints are out; probes try the others.
+CALL_TRIAL_INTERVAL_MS = 200.0
 TIE_BREAK = 0.02
 MIN_TYPICAL_LATENCY_MS = 0.1
 MIN_SLOWNESS = 0.01
@@ -63,6 +66,7 @@
         "_share",
         "_rng",
         "_ejected",
+        "_call_trial_from_ms",
         "_serving",
         "_typical_slowdown",
         "_slot_limit",
@@ -78,6 +82,7 @@
         self._share = share
         self._rng = rng or Random()
         self._ejected: set[str] = set()
+        self._call_trial_from_ms = float("-inf")
         self._serving: list[Endpoint] = []
         self._typical_slowdown = 1.0
         self._slot_limit = AdaptiveSlotLimit()
@@ -151,7 +156,9 @@
         endpoint.status = status
         endpoint.status_reason = reason
         endpoint.since_ms = now_ms
-        if status is EndpointStatus.COLD:
+        if event is EndpointEvent.SUCCEEDED:
+            endpoint.gate.reopen()
+        elif status is EndpointStatus.COLD:
             endpoint.warm_up_ends_ms = max(endpoint.warm_up_ends_ms, now_ms + DEFAULT_WARM_UP_MS)
         if status in (EndpointStatus.EJECTED, EndpointStatus.TRIAL):
             self._ejected.add(name)
@@ -266,7 +273,9 @@
         """
         slots = 0.0
         for endpoint in self._serving:
-            limit = float(self._slot_limit.limit(endpoint.gate.limit))
+            limit = min(
+                float(self._slot_limit.limit(endpoint.gate.limit)), endpoint.gate.most_in_flight
+            )
             if endpoint.gate.closure is not None:
                 is_closed = endpoint.gate.closed_for_ms(now_ms) > 0
                 limit = 0.0 if is_closed else min(limit, endpoint.gate.closure.room)
@@ -282,6 +291,8 @@
 
     def has_due_trial(self, now_ms: float) -> bool:
         """Return whether an ejected endpoint is due for a trial with one idempotent call."""
+        if now_ms < self._call_trial_from_ms:
+            return False
         return any(self._is_trial_due(self.endpoint_by_id[name], now_ms) for name in self._ejected)
 
     def typical_latency_ms(self, partner: str) -> float:
@@ -314,7 +325,7 @@
         best_cost = float("inf")
         for endpoint in self._serving:
             gate = endpoint.gate
-            limit = min(self._slot_limit.limit(gate.limit), gate.room)
+            limit = min(self._slot_limit.limit(gate.limit), gate.most_in_flight)
             if len(endpoint.in_flight_by_call_id) >= limit:
                 continue
             if gate.closure is not None and not gate.closure.admits(endpoint.started_ms(), now_ms):
@@ -331,31 +342,47 @@
     def start_probe_trial(self, now_ms: float) -> EndpointAddress | None:
         """Start the trial of an ejected endpoint by a probe, if one is due.
 
-        Handles services without idempotent calls, whose ejected endpoints would stay out for good.
+        Handles services without idempotent calls, whose ejected endpoints would stay out for good,
+        and unreachable endpoints, whose recovery a probe finds at no caller's cost.
         """
-        for name in self._ejected:
-            endpoint = self.endpoint_by_id[name]
-            if self._is_trial_due(endpoint, now_ms - CALL_TRIAL_HEAD_START_MS):
-                endpoint.gate.count_sent(now_ms)
-                self.handle(name, EndpointEvent.TRIAL, "probe due", now_ms)
-                return endpoint.address
-        return None
+        due = [
+            endpoint
+            for name in self._ejected
+            if self._is_probe_trial_due(endpoint := self.endpoint_by_id[name], now_ms)
+        ]
+        if not due:
+            return None
+        endpoint = min(due, key=lambda item: (item.probe_due_ms, item.address.endpoint))
+        endpoint.gate.count_sent(now_ms)
+        self.handle(endpoint.address.endpoint, EndpointEvent.TRIAL, "probe due", now_ms)
+        return endpoint.address
 
     def finish_probe_trial(
         self, name: str, report: LoadReport | ProbeFailed, now_ms: float
     ) -> None:
         """Return a probed endpoint to service, or eject it until its next trial.
 
-        It keeps its count of failures, so that one more failed call ejects it again.
+        An endpoint that was unreachable or full and no longer is returns at once. One that answered
+        its probes all the time and failed calls returns only when its ejection ends. In both cases,
+        one more failed call ejects it again.
         """
         endpoint = self.endpoint_by_id.get(name)
         if endpoint is None or endpoint.status is not EndpointStatus.TRIAL:
             return
+        endpoint.probe_due_ms = now_ms + BASE_EJECTION_MS
         if isinstance(report, ProbeFailed):
-            endpoint.ejected_until_ms = now_ms + BASE_EJECTION_MS
-            self.handle(name, EndpointEvent.FAILING, f"probe failed: {report.detail}", now_ms)
+            self._keep_ejected(endpoint, f"probe failed: {report.detail}", now_ms)
             return
         self.report_load(name, report, now_ms)
+        if report.waiting and report.running >= endpoint.address.slots:
+            self._keep_ejected(endpoint, "probe found it full", now_ms)
+            return
+        if not endpoint.is_unreachable and now_ms < endpoint.ejected_until_ms:
+            reason = "probe answered, as before the failed calls"
+            self.handle(name, EndpointEvent.FAILING, reason, now_ms)
+            return
+        endpoint.consecutive_failures = FAILURES_BEFORE_EJECTION - 1
+        self._end_ejection(endpoint)
         self.handle(name, EndpointEvent.SUCCEEDED, "probe answered", now_ms)
 
     def start(self, endpoint: Endpoint, call_id: str, partner: str, now_ms: float) -> None:
@@ -546,6 +573,8 @@
         name = endpoint.address.endpoint
         if endpoint.status is EndpointStatus.TRIAL:
             endpoint.ejections = 0
+            self._end_ejection(endpoint)
+            self._call_trial_from_ms = now_ms
             self.handle(name, EndpointEvent.SUCCEEDED, "trial succeeded", now_ms)
         elif endpoint.status is EndpointStatus.COLD and now_ms >= endpoint.warm_up_ends_ms:
             endpoint.ejections = 0
@@ -565,12 +594,33 @@
         failed_trial = endpoint.status is EndpointStatus.TRIAL
         if not failed_trial and not self._may_eject(endpoint):
             return
-        duration_ms = min(BASE_EJECTION_MS * 2**endpoint.ejections, MAX_EJECTION_MS)
-        endpoint.ejections += 1
+        duration_ms = BASE_EJECTION_MS
+        if result not in NOT_RUN_RESULTS:
+            # Such a trial may have cost the caller its call, so it is repeated less and less often.
+            duration_ms = min(BASE_EJECTION_MS * 2**endpoint.ejections, MAX_EJECTION_MS)
+            endpoint.ejections += 1
+        elif failed_trial:
+            endpoint.is_unreachable = True
+        if failed_trial:
+            self._call_trial_from_ms = now_ms + CALL_TRIAL_INTERVAL_MS
         endpoint.ejected_until_ms = now_ms + duration_ms
+        endpoint.probe_due_ms = now_ms + BASE_EJECTION_MS + CALL_TRIAL_HEAD_START_MS
         reason = f"{endpoint.consecutive_failures} failures, last {result.value}"
         self.handle(endpoint.address.endpoint, EndpointEvent.FAILING, reason, now_ms)
 
+    def _keep_ejected(self, endpoint: Endpoint, reason: str, now_ms: float) -> None:
+        """Eject an endpoint that a probe found unusable, and leave its next trials to probes."""
+        endpoint.is_unreachable = True
+        endpoint.ejected_until_ms = max(endpoint.ejected_until_ms, now_ms + 2 * BASE_EJECTION_MS)
+        self.handle(endpoint.address.endpoint, EndpointEvent.FAILING, reason, now_ms)
+
+    def _end_ejection(self, endpoint: Endpoint) -> None:
+        """Forget what its being unreachable explains."""
+        if endpoint.is_unreachable:
+            endpoint.is_unreachable = False
+            endpoint.ejections = 0
+            endpoint.gate.room = math.inf
+
     def _may_eject(self, endpoint: Endpoint) -> bool:
         if endpoint.status not in SERVING:
             return False
@@ -579,12 +629,18 @@
         return len(self._ejected) + 1 <= len(self.endpoint_by_id) * MAX_EJECTED_SHARE
 
     def _due_trial(self, now_ms: float, excluded: frozenset[str]) -> Endpoint | None:
-        for name in self._ejected:
-            endpoint = self.endpoint_by_id[name]
-            if name not in excluded and self._is_trial_due(endpoint, now_ms):
-                self.handle(name, EndpointEvent.TRIAL, "trial due", now_ms)
-                return endpoint
-        return None
+        if now_ms < self._call_trial_from_ms:
+            return None
+        due = [
+            endpoint
+            for name in self._ejected - excluded
+            if self._is_trial_due(endpoint := self.endpoint_by_id[name], now_ms)
+        ]
+        if not due:
+            return None
+        endpoint = min(due, key=lambda item: (item.ejected_until_ms, item.address.endpoint))
+        self.handle(endpoint.address.endpoint, EndpointEvent.TRIAL, "trial due", now_ms)
+        return endpoint
 
     def _is_trial_due(self, endpoint: Endpoint, now_ms: float) -> bool:
         is_ejected = endpoint.status is EndpointStatus.EJECTED
@@ -592,6 +648,12 @@
             return False
         return endpoint.gate.opens_in_ms(now_ms) == 0
 
+    def _is_probe_trial_due(self, endpoint: Endpoint, now_ms: float) -> bool:
+        is_ejected = endpoint.status is EndpointStatus.EJECTED
+        if not is_ejected or now_ms < endpoint.probe_due_ms:
+            return False
+        return endpoint.gate.opens_in_ms(now_ms) == 0
+
     def _notice_ends_ms(self, now_ms: float) -> float:
         # Varies, so that a fleet whose notices stopped does not send to the endpoint at once.
         return now_ms + NOTICE_LIFETIME_MS * (1 + self._rng.random())
--- a/packages/cassiahaven-core/cassiahaven_core/service.py
+++ b/packages/cassiahaven-core/cassiahaven_core/service.py
@@ -5,7 +5,13 @@
 from typing import TypeAlias
 
 from cassiahaven_core.admission import Admission, WaitingCall
-from cassiahaven_core.endpoint import CallResult, Endpoint, LoadReport, ProbeFailed
+from cassiahaven_core.endpoint import (
+    NOT_RUN_RESULTS,
+    CallResult,
+    Endpoint,
+    LoadReport,
+    ProbeFailed,
+)
 from cassiahaven_core.endpoint_address import EndpointAddress
 from cassiahaven_core.load_shedding import MIN_LATENCY_SHARE, unservable_calls
 from cassiahaven_core.pool import Pool
@@ -22,7 +28,6 @@
     CallResult.UNANSWERED: RetryReason.UNANSWERED,
 }
 MAX_RETRY_AFTER_MS = 5000.0  # limits change within seconds, and callers may find another entry
-NOT_RUN_RESULTS = frozenset({CallResult.CONNECT_FAILED, CallResult.REFUSED, CallResult.REPLACED})
 
 
 @dataclass(frozen=True, slots=True)
