Send watchers' reports as numbered changes

Cause: each report of a watcher held the names of all live entries and went to every subscriber whenever any topic's version moved. The store's revision moves with each sign of life of an endpoint, so all reports were full ones.

Change: a report is sent in full to a new subscriber or after a gap, and otherwise as a change with a sequence number. Heartbeats of both directions are numbers without names. A watcher reports as draining only what entries told it itself, so two watchers do not confirm each other's old state. Bytes of messages are counted by class and direction; benchmarks/peer_traffic.py counts what one change costs on the real links without sockets.

--- a/benchmarks/__main__.py
+++ b/benchmarks/__main__.py
@@ -1,6 +1,6 @@
 """Run all benchmarks and print one JSON line per result.
 
-Pass ``slopes``, ``hop``, ``control`` or ``policy`` as arguments to run only those.
+Pass ``slopes``, ``hop``, ``control``, ``traffic`` or ``policy`` as arguments to run only those.
 """
 
 import json
@@ -11,12 +11,13 @@
 
 warnings.filterwarnings("ignore", message="(?s).*Eventlet is deprecated.*")
 
-from benchmarks import control, hop, scenarios, slopes
+from benchmarks import control, hop, peer_traffic, scenarios, slopes
 
 SECTIONS: dict[str, Callable[[], Iterator[dict[str, Any]]]] = {
     "slopes": slopes.measure,
     "hop": hop.measure,
     "control": control.measure,
+    "traffic": peer_traffic.measure,
     "policy": scenarios.run_all,
 }
 
--- a/packages/cassiahaven-core/cassiahaven_core/membership.py
+++ b/packages/cassiahaven-core/cassiahaven_core/membership.py
@@ -41,11 +41,13 @@
         last_message_ms: When its last message arrived.
         store_answered_ms: When the store last answered the watcher, on this process's clock.
         live: Names of the entries that report to it, itself included.
+        draining: Those of them that told it that they are draining.
     """
 
     last_message_ms: float
     store_answered_ms: float
     live: frozenset[str]
+    draining: frozenset[str]
 
 
 class Fleet:
@@ -56,6 +58,7 @@
     Attributes:
         store: Detects outages of the store, from answers to this entry and to its watchers.
         has_members: Whether the registered entries are known.
+        draining: Entries that are draining, as they told this entry or a watcher that it follows.
     """
 
     __slots__ = (
@@ -65,6 +68,7 @@
         "report_ms_by_name",
         "versions_by_name",
         "draining",
+        "_told_draining",
         "store",
         "has_members",
     )
@@ -76,6 +80,7 @@
         self.report_ms_by_name: dict[str, float] = {}
         self.versions_by_name: dict[str, dict[str, int]] = {}
         self.draining: set[str] = set()
+        self._told_draining: set[str] = set()
         self.store = StoreOutageDetector()
         self.has_members = False
 
@@ -85,6 +90,7 @@
         self.member_by_name[self.own.name] = self.own
         self.has_members = True
         self.draining &= self.member_by_name.keys()
+        self._told_draining &= self.member_by_name.keys()
         for known in (self.view_by_watcher, self.report_ms_by_name, self.versions_by_name):
             for name in known.keys() - self.member_by_name.keys():
                 del known[name]
@@ -101,7 +107,16 @@
         self.report_ms_by_name[name] = now_ms
         if version_by_topic:
             self.versions_by_name[name] = version_by_topic
-        self._set_draining(name, is_draining)
+        if is_draining:
+            self._told_draining.add(name)
+        else:
+            self._told_draining.discard(name)
+        if is_draining or name in self.draining:
+            self._update_draining(name)
+
+    def record_heartbeat(self, name: str, now_ms: float) -> None:
+        """Record a subscriber's heartbeat, which confirms its last report."""
+        self.report_ms_by_name[name] = now_ms
 
     def record_watcher_report(
         self,
@@ -113,11 +128,11 @@
         now_ms: float,
     ) -> None:
         """Record a watcher's report on the fleet and the store."""
-        self.view_by_watcher[watcher] = WatcherView(now_ms, now_ms - store_age_ms, frozenset(live))
+        view = WatcherView(now_ms, now_ms - store_age_ms, frozenset(live), frozenset(draining))
+        self.view_by_watcher[watcher] = view
         self._record_store_age(store_age_ms, now_ms)
-        leaving = set(draining)
-        for name in self.view_by_watcher[watcher].live - {self.own.name}:
-            self._set_draining(name, name in leaving)
+        for name in (self.draining & view.live) | view.draining:
+            self._update_draining(name)
 
     def record_watcher_heartbeat(self, watcher: str, *, store_age_ms: float, now_ms: float) -> None:
         """Record a watcher's heartbeat, which confirms its last report."""
@@ -154,6 +169,13 @@
             [self.own.name, *(n for n, at_ms in heard if now_ms - at_ms < REPORT_TIMEOUT_MS)]
         )
 
+    def own_draining(self) -> list[str]:
+        """Return the entries that told this one that they are draining, itself included.
+
+        What other watchers report is left out: two watchers would confirm each other's old state.
+        """
+        return sorted(self._told_draining | (self.draining & {self.own.name}))
+
     def watchers(self, unreachable: frozenset[str] = frozenset()) -> list[Member]:
         """Return the entries that watch the store for the fleet, at most one per zone.
 
@@ -208,8 +230,12 @@
         ranked = rank(f"{WATCHER_RANK_KEY}/{zone}", tuple(sorted(names)))
         return sorted(ranked, key=lambda name: -self.member_by_name[name].cores)
 
-    def _set_draining(self, name: str, is_draining: bool) -> None:
-        if is_draining:
+    def _update_draining(self, name: str) -> None:
+        """Update whether an entry is draining: one source suffices, and the last one is kept."""
+        if name == self.own.name:
+            return
+        views = [view for view in self.view_by_watcher.values() if name in view.live]
+        if name in self._told_draining or any(name in view.draining for view in views):
             self.draining.add(name)
-        else:
+        elif views or name in self.report_ms_by_name:
             self.draining.discard(name)
--- a/packages/cassiahaven-core/cassiahaven_core/peer_message.py
+++ b/packages/cassiahaven-core/cassiahaven_core/peer_message.py
@@ -142,7 +142,7 @@
 
 @dataclass(frozen=True, slots=True)
 class MemberReport:
-    """Tells a watcher that the sender is alive; sent by each of its subscribers.
+    """Tells a watcher the state of a subscriber; sent on connection and at each change.
 
     Attributes:
         version_by_topic: Version of each topic at the sender, empty if unchanged since its last
@@ -154,28 +154,73 @@
     version_by_topic: dict[str, int] = field(default_factory=dict)
 
 
+@dataclass(frozen=True, slots=True)
+class MemberPulse:
+    """Heartbeat of a subscriber: nothing changed since its last report on this connection."""
+
+
 @dataclass(frozen=True, slots=True)
 class WatcherReport:
-    """Tells subscribers which entries are alive and which fleet state the sender has.
+    """Tells a subscriber which entries are alive and which fleet state the sender has.
 
     Attributes:
         live: Entries that report to the sender, itself included.
         draining: Those of them that are draining because they stop.
         store_age_ms: Time since the store's last answer.
         version_by_topic: Version of each topic that the sender has.
+        sequence: Number of the last change that is included.
     """
 
     live: list[str]
     draining: list[str]
     store_age_ms: float
     version_by_topic: dict[str, int]
+    sequence: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class WatcherReportChange:
+    """What changed in a watcher's report since the one with the number before.
+
+    Attributes:
+        version_by_topic: The versions that changed.
+    """
+
+    sequence: int
+    joined: list[str]
+    lost: list[str]
+    started_draining: list[str]
+    stopped_draining: list[str]
+    store_age_ms: float
+    version_by_topic: dict[str, int]
+
+    @property
+    def is_empty(self) -> bool:
+        """Return whether nothing but the store's age changed."""
+        return not (
+            self.joined
+            or self.lost
+            or self.started_draining
+            or self.stopped_draining
+            or self.version_by_topic
+        )
 
 
 @dataclass(frozen=True, slots=True)
 class WatcherPulse:
-    """Heartbeat of a watcher: nothing but the store's age changed since its last report."""
+    """Heartbeat of a watcher: nothing but the store's age changed since its last report.
+
+    Attributes:
+        sequence: Number of the last change of its report.
+    """
 
     store_age_ms: float
+    sequence: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class ReportRequest:
+    """Requests a watcher's full report, as changes of it are missing."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -231,8 +276,11 @@
     | KeyReply
     | ExplanationHandover
     | MemberReport
+    | MemberPulse
     | WatcherReport
+    | WatcherReportChange
     | WatcherPulse
+    | ReportRequest
     | StateRequest
     | StateNews
 )
@@ -251,13 +299,20 @@
         KeyReply,
         ExplanationHandover,
         MemberReport,
+        MemberPulse,
         WatcherReport,
+        WatcherReportChange,
         WatcherPulse,
+        ReportRequest,
         StateRequest,
         StateNews,
     )
 }
 
+# Numbers in place of the names of the messages that are sent every report interval.
+_NUMBER_BY_CLASS: dict[type, int] = {MemberPulse: 1, WatcherPulse: 2}
+_CLASS_BY_NUMBER = {number: item for item, number in _NUMBER_BY_CLASS.items()}
+
 
 def revision_digest(revision_by_service: dict[str, int]) -> bytes:
     """Return a short digest of the revisions; collisions are very unlikely."""
@@ -269,7 +324,7 @@
 
 
 def encode(message: PeerMessage) -> bytes:
-    """Return ``message`` as a CBOR array: its class name, then its fields in order."""
+    """Return ``message`` as a CBOR array: its class name or number, then its fields in order."""
     values = [getattr(message, item.name) for item in fields(message)]
     match message:
         case Introduction(entry=entry):
@@ -280,7 +335,10 @@
             values[0] = [[getattr(item, part.name) for part in fields(item)] for item in notices]
         case KeyReply(reply=reply):
             values[1] = _reply_to_plain(reply)
-    return cbor2.dumps([type(message).__name__, *values])
+        case WatcherPulse(store_age_ms=store_age_ms):
+            values[0] = round(store_age_ms)  # at most 5 bytes in place of 9
+    kind = type(message)
+    return cbor2.dumps([_NUMBER_BY_CLASS.get(kind, kind.__name__), *values])
 
 
 def encode_once(message: PeerMessage) -> Encoded:
@@ -305,7 +363,8 @@
                 values[0] = [RateLimitNotice(*item) for item in values[0]]
             case "KeyReply":
                 values[1] = _reply_from_plain(values[1])
-        return _CLASS_BY_TAG[tag](*values)
+        kind = _CLASS_BY_NUMBER[tag] if isinstance(tag, int) else _CLASS_BY_TAG[tag]
+        return kind(*values)
     except (
         cbor2.CBORDecodeError,
         ValueError,
--- a/packages/cassiahaven-entry/cassiahaven_entry/fleet_links.py
+++ b/packages/cassiahaven-entry/cassiahaven_entry/fleet_links.py
@@ -1,7 +1,6 @@
 """Peer links within a fleet: each entry subscribes to a few entries that watch the store."""
 
 from collections.abc import Callable
-from dataclasses import replace
 
 import eventlet
 
@@ -9,16 +8,20 @@
 from cassiahaven_core.peer_message import (
     CrashNotice,
     Encoded,
+    MemberPulse,
     MemberReport,
     PeerMessage,
     RateLimitNotice,
     RateLimitNotices,
+    ReportRequest,
     StateNews,
     StateRequest,
     WatcherPulse,
     WatcherReport,
+    WatcherReportChange,
     encode_once,
 )
+from cassiahaven_core.watcher_report import ReportMessage, ReportPublisher, ReportReplica
 from cassiahaven_entry.clock import MS_PER_S, now_ms
 from cassiahaven_entry.event import LogEvent, log
 from cassiahaven_entry.metrics import Metrics
@@ -122,16 +125,20 @@
         state: LinkCallbacks,
         request_pacer: StateRequestPacer,
         has_near_link: Callable[[], bool],
+        metrics: Metrics | None = None,
     ) -> None:
-        super().__init__(member.name, f"ws://{member.peers}", cluster=CLUSTER, key=key)
+        super().__init__(
+            member.name, f"ws://{member.peers}", cluster=CLUSTER, key=key, metrics=metrics
+        )
         self.failed_ms = float("-inf")
         self.is_near = member.availability_zone == fleet.own.availability_zone
         self._fleet = fleet
         self._state = state
         self._request_pacer = request_pacer
         self._has_near_link = has_near_link
-        self._version_by_topic: dict[str, int] = {}
-        self._reported_versions: dict[str, int] = {}
+        self._replica = ReportReplica()
+        self._report_requested_ms = float("-inf")
+        self._reported: MemberReport | None = None
 
     @property
     def is_connected(self) -> bool:
@@ -139,11 +146,12 @@
         return self._connection is not None
 
     def report(self, is_draining: bool) -> None:
-        """Send a liveness report to the watcher, with topic versions if they changed."""
-        versions = self._state.versions()
-        changed_versions = {} if versions == self._reported_versions else versions
-        if self.send(MemberReport(self._fleet.own.name, is_draining, changed_versions)):
-            self._reported_versions = versions
+        """Tell the watcher what changed since the last report, or that this entry is alive."""
+        report = MemberReport(self._fleet.own.name, is_draining, self._state.versions())
+        if report == self._reported:
+            self.send(MemberPulse())
+        elif self.send(report):
+            self._reported = report
 
     def drop_if_silent(self) -> None:
         """Drop the connection if the watcher has been silent for too long."""
@@ -162,8 +170,9 @@
         self.failed_ms = now_ms()
 
     def _on_connected(self) -> None:
-        self._version_by_topic = {}
-        self._reported_versions = {}
+        self._replica.reset()
+        self._report_requested_ms = float("-inf")
+        self._reported = None
         self.report(self._fleet.own.name in self._fleet.draining)
 
     def _on_disconnected(self) -> None:
@@ -172,13 +181,8 @@
 
     def _receive(self, message: PeerMessage) -> None:
         match message:
-            case WatcherReport():
-                self._apply_update(message)
-            case WatcherPulse(store_age_ms=store_age_ms):
-                self._fleet.record_watcher_heartbeat(
-                    self.name, store_age_ms=store_age_ms, now_ms=now_ms()
-                )
-                self._request_outdated_topics()
+            case WatcherReport() | WatcherReportChange() | WatcherPulse():
+                self._apply_report(message)
             case StateNews(topic=topic):
                 self._request_pacer.mark_answered(topic)
                 self._state.on_state_update(message, self.name)
@@ -188,21 +192,33 @@
                 for notice in notices:
                     self._state.on_rate_limit(notice)
 
-    def _apply_update(self, report: WatcherReport) -> None:
-        self._fleet.record_watcher_report(
-            self.name,
-            live=report.live,
-            draining=report.draining,
-            store_age_ms=report.store_age_ms,
-            now_ms=now_ms(),
-        )
-        self._version_by_topic = report.version_by_topic
+    def _apply_report(self, message: ReportMessage) -> None:
+        before = self._replica.report
+        is_full_needed = self._replica.apply(message)
+        report = self._replica.report
+        if report is not before:
+            self._fleet.record_watcher_report(
+                self.name,
+                live=report.live,
+                draining=report.draining,
+                store_age_ms=report.store_age_ms,
+                now_ms=now_ms(),
+            )
+        else:
+            self._fleet.record_watcher_heartbeat(
+                self.name, store_age_ms=message.store_age_ms, now_ms=now_ms()
+            )
+        if is_full_needed and now_ms() - self._report_requested_ms > REQUEST_TIMEOUT_MS:
+            self._report_requested_ms = now_ms()
+            self.send(ReportRequest())
         self._request_outdated_topics()
 
     def _request_outdated_topics(self) -> None:
+        if self._replica.report is None:
+            return
         own = self._state.versions()
         prefers_another = not self.is_near and self._has_near_link()
-        for topic, version in self._version_by_topic.items():
+        for topic, version in self._replica.report.version_by_topic.items():
             if version > own[topic] and self._request_pacer.is_due(
                 topic, prefers_another=prefers_another, now_ms=now_ms()
             ):
@@ -225,7 +241,8 @@
         self._state = state
         self._key = key
         self._name_by_connection: dict[str, str] = {}
-        self._published: WatcherReport | None = None
+        self._metrics = metrics
+        self._reports = ReportPublisher()
         self._published_ms = float("-inf")
         self._is_report_due = False
         self._waiting_notices: dict[tuple[str, str], RateLimitNotice] = {}
@@ -287,11 +304,7 @@
         if not self.has_subscribers:
             return
         self._published_ms = now_ms()
-        # An unchanged report is replaced by a short keepalive.
-        report = self._state.report()
-        is_unchanged = replace(report, store_age_ms=0.0) == self._published
-        self._published = replace(report, store_age_ms=0.0)
-        self._server.publish(WatcherPulse(report.store_age_ms) if is_unchanged else report)
+        self._server.publish(self._reports.advance(self._state.report()))
 
     def publish(self, message: PeerMessage) -> None:
         """Send ``message`` to all subscribers and watchers."""
@@ -326,8 +339,11 @@
         self._server.drop()
 
     def greeting(self) -> list[PeerMessage]:
-        """Return the messages for a new subscriber."""
-        return [self._state.report()]
+        """Return the messages for a new subscriber.
+
+        The report is the last published one, since the next change applies to that.
+        """
+        return [self._full_report()]
 
     def receive(self, connection: str, message: PeerMessage) -> list[PeerMessage | Encoded]:
         """Handle a message of a subscriber and return the replies."""
@@ -341,6 +357,12 @@
                 )
                 if is_changed:
                     self.publish_report()
+            case MemberPulse():
+                name = self._name_by_connection.get(connection)
+                if name is not None:
+                    self._fleet.record_heartbeat(name, now_ms())
+            case ReportRequest():
+                return [self._full_report()]
             case StateRequest():
                 return [self._encoded_reply(message)]
             case CrashNotice():
@@ -360,6 +382,13 @@
             log(LogEvent.PEER_LOST, peer=name)
             self.publish_report()
 
+    def _full_report(self) -> WatcherReport:
+        report = self._state.report()
+        if self._reports.published is None or not self.has_subscribers:
+            # Nothing is published without subscribers, so the last report may be old.
+            self._reports.advance(report)
+        return self._reports.full(report.store_age_ms)
+
     def _encoded_reply(self, request: StateRequest) -> Encoded:
         # All subscribers send the same request at about the same time: encode the reply once.
         key = (request.topic, request.revision, self._state.versions()[request.topic])
@@ -398,6 +427,7 @@
                     self._state,
                     self._request_pacer,
                     self._has_near_link,
+                    self._metrics,
                 )
                 self.link_by_name[name] = link
                 spawn_supervised(f"link to {name}", link.run)
--- a/packages/cassiahaven-entry/cassiahaven_entry/metrics.py
+++ b/packages/cassiahaven-entry/cassiahaven_entry/metrics.py
@@ -49,6 +49,28 @@
         yield family
 
 
+class PeerBytes:
+    """Count the bytes of each class of message in one direction.
+
+    The labelled counters are kept, as looking one up costs more than counting.
+    """
+
+    __slots__ = ("_counter", "_direction", "_counter_by_kind")
+
+    def __init__(self, counter: Counter, direction: str) -> None:
+        self._counter = counter
+        self._direction = direction
+        self._counter_by_kind: dict[str, Counter] = {}
+
+    def count(self, kind: str, size: int) -> None:
+        """Count a message of class ``kind``."""
+        counter = self._counter_by_kind.get(kind)
+        if counter is None:
+            counter = self._counter.labels(kind, self._direction)
+            self._counter_by_kind[kind] = counter
+        counter.inc(size)
+
+
 class Metrics:
     """All metrics of an entry process."""
 
@@ -79,7 +101,11 @@
             "operator_rejections", "Operator requests turned away", "reason"
         )
         self.store_calls = self._counter("store_calls", "Calls to the object store", "kind")
-        self.peer_bytes = self._counter("peer_bytes", "Bytes sent to peers", "message")
+        peer_bytes = self._counter(
+            "peer_bytes", "Bytes of messages between entries", "message", "direction"
+        )
+        self.peer_bytes_sent = PeerBytes(peer_bytes, "sent")
+        self.peer_bytes_received = PeerBytes(peer_bytes, "received")
         self.kept_endpoints = self._gauge(
             "kept_endpoints", "Endpoints in use though their registration is gone"
         )
--- a/packages/cassiahaven-entry/cassiahaven_entry/peer_dialer.py
+++ b/packages/cassiahaven-entry/cassiahaven_entry/peer_dialer.py
@@ -11,6 +11,7 @@
 from cassiahaven_core.peer_message import MalformedMessage, PeerMessage, decode, encode
 from cassiahaven_entry.clock import MS_PER_S
 from cassiahaven_entry.event import LogEvent, log
+from cassiahaven_entry.metrics import Metrics
 from cassiahaven_entry.peer_handler import (
     CLOSE_TIMEOUT_S,
     CLUSTER_HEADER,
@@ -30,11 +31,15 @@
         url: Address of its peer port.
         cluster: Name of the cluster.
         key: Shared key of the peer links.
+        metrics: Counters of the bytes, ``None`` for none.
     """
 
-    def __init__(self, name: str, url: str, *, cluster: str, key: str) -> None:
+    def __init__(
+        self, name: str, url: str, *, cluster: str, key: str, metrics: Metrics | None = None
+    ) -> None:
         self.name = name
         self.url = url
+        self._metrics = metrics
         self._headers = {"Authorization": f"Bearer {key}", CLUSTER_HEADER: cluster}
         self._connection: ClientConnection | None = None
         self._is_closed = False
@@ -68,10 +73,13 @@
         """Send ``message`` and return whether it was written to the connection."""
         if self._connection is None:
             return False
+        data = encode(message)
         try:
-            self._connection.send(encode(message))
+            self._connection.send(data)
         except CONNECTION_ERRORS:
             return False
+        if self._metrics is not None:
+            self._metrics.peer_bytes_sent.count(type(message).__name__, len(data))
         return True
 
     def _connect(self) -> None:
@@ -89,7 +97,10 @@
             self._connected(connection),
         ):
             for data in connection:
-                self._receive(decode(data))
+                message = decode(data)
+                if self._metrics is not None:
+                    self._metrics.peer_bytes_received.count(type(message).__name__, len(data))
+                self._receive(message)
 
     @contextmanager
     def _connected(self, connection: ClientConnection) -> Iterator[None]:
--- a/packages/cassiahaven-entry/cassiahaven_entry/peer_server.py
+++ b/packages/cassiahaven-entry/cassiahaven_entry/peer_server.py
@@ -121,12 +121,14 @@
     def _receive(self, connection: ServerConnection, data: bytes | str) -> None:
         if isinstance(data, str):
             raise MalformedMessage("text instead of CBOR")
-        for reply in self._handler.receive(str(connection.id), decode(data)):
+        message = decode(data)
+        self._metrics.peer_bytes_received.count(type(message).__name__, len(data))
+        for reply in self._handler.receive(str(connection.id), message):
             encoded = reply if isinstance(reply, Encoded) else encode_once(reply)
             self._send(connection, encoded.kind, encoded.data)
 
     def _send(self, connection: ServerConnection, kind: str, data: bytes) -> None:
-        self._metrics.peer_bytes.labels(kind).inc(len(data))
+        self._metrics.peer_bytes_sent.count(kind, len(data))
         try:
             connection.send(data)
         except CONNECTION_ERRORS:
--- a/packages/cassiahaven-entry/cassiahaven_entry/routed_node.py
+++ b/packages/cassiahaven-entry/cassiahaven_entry/routed_node.py
@@ -301,7 +301,7 @@
     def _report(self) -> WatcherReport:
         return WatcherReport(
             live=self.fleet.own_subscribers(now_ms()),
-            draining=sorted(self.fleet.draining),
+            draining=self.fleet.own_draining(),
             store_age_ms=min(self.feed.age_ms, 1e9),
             version_by_topic=self.view.versions(),
         )
--- a/packages/cassiahaven-entry/tests/test_fleet_links.py
+++ b/packages/cassiahaven-entry/tests/test_fleet_links.py
@@ -8,13 +8,17 @@
 from cassiahaven_core.membership import Fleet, Member
 from cassiahaven_core.peer_message import (
     Encoded,
+    MemberReport,
     RateLimitNotice,
     RateLimitNotices,
+    ReportRequest,
     StateNews,
     StateRequest,
     WatcherReport,
+    WatcherReportChange,
     decode,
 )
+from cassiahaven_core.watcher_report import ReportReplica
 from cassiahaven_entry.clock import now_ms
 from cassiahaven_entry.fleet_links import (
     COALESCE_MS,
@@ -95,6 +99,44 @@
     assert asked == ["a1"]
 
 
+def test_subscriber_that_missed_a_change_asks_for_the_full_report(clock, state):
+    """Guards against a subscriber that keeps a wrong list of live entries after a gap."""
+    asked = []
+    fleet = Fleet(member("a2"))
+    fleet.set_members([member(name) for name in ("a2", "b1", "c1")])
+    callbacks = fleet_state(state)
+    link = WatcherLink(member("b1"), "k", fleet, callbacks, StateRequestPacer(), lambda: True)
+    link.send = asked.append
+    versions = {"configuration": 2}
+    link._receive(WatcherReport(["a2", "b1"], [], 0.0, versions, 1))
+    for _ in range(2):
+        link._receive(WatcherReportChange(3, [], ["c1"], [], [], 0.0, {}))
+    assert asked == [ReportRequest()]
+    link._receive(WatcherReport(["b1", "c1"], [], 0.0, versions, 4))
+    assert fleet.live_names(now_ms()) == {"a2", "b1", "c1"}
+    link._on_connected()
+    link._receive(WatcherReport(["b1"], [], 0.0, versions, 1))
+    link._receive(WatcherReportChange(2, ["a2"], [], [], [], 0.0, {}))
+    assert fleet.live_names(now_ms()) == {"a2", "b1"}
+
+
+def test_new_subscriber_can_apply_the_next_change(links):
+    """Guards against a first report that is newer than the one that changes are based on."""
+    versions = {"configuration": 2}
+    links._state.report = lambda: WatcherReport(["a1"], [], 0.0, versions)
+    links.receive("0", MemberReport("a2", False))
+    links._publish_report()
+    links._state.report = lambda: WatcherReport(["a1", "a2"], [], 0.0, versions)
+    [first] = links.greeting()
+    published = []
+    links._server.publish = published.append
+    links._publish_report()
+    replica = ReportReplica()
+    replica.apply(first)
+    assert not replica.apply(published[0])
+    assert set(replica.report.live) == {"a1", "a2"}
+
+
 def test_far_watcher_is_requested_when_the_near_one_does_not_reply():
     request_pacer = StateRequestPacer()
     assert not request_pacer.is_due("configuration", prefers_another=True, now_ms=0.0)
