--- a/packages/cassiahaven-core/cassiahaven_core/peer_message.py
+++ b/packages/cassiahaven-core/cassiahaven_core/peer_message.py
@@ -1,5 +1,6 @@
 """Messages between entry processes and their CBOR encoding."""
 
+import zlib
 from dataclasses import dataclass, field, fields
 from hashlib import blake2b
 from typing import Any, TypeAlias
@@ -15,6 +16,11 @@
 from cassiahaven_core.table_codec import row_from_plain, row_to_plain
 
 DIGEST_BYTES = 8
+# Lists of registrations and names shrink to a fifth; heartbeats and small changes would not.
+LEAST_COMPRESSED_BYTES = 512
+COMPRESSION_LEVEL = 1  # a state of 22 kB takes 0.2 ms, and is encoded once for all subscribers
+COMPRESSED_MARK = b"\x00"  # no message starts with it, as each is an array
+LARGEST_DECOMPRESSED_BYTES = 64 * 1024 * 1024
 
 
 class MalformedMessage(Exception):
@@ -142,7 +148,7 @@
 
 @dataclass(frozen=True, slots=True)
 class MemberReport:
-    """Tells a watcher that the sender is alive; sent by each of its subscribers.
+    """Tells a watcher the state of a subscriber; sent on connection and at each change.
 
     Attributes:
         version_by_topic: Version of each topic at the sender, empty if unchanged since its last
@@ -154,28 +160,73 @@
     version_by_topic: dict[str, int] = field(default_factory=dict)
 
 
+@dataclass(frozen=True, slots=True)
+class MemberPulse:
+    """Heartbeat of a subscriber: nothing changed since its last report on this connection."""
+
+
 @dataclass(frozen=True, slots=True)
 class WatcherReport:
-    """Tells subscribers which entries are alive and which fleet state the sender has.
+    """Tells a subscriber which entries are alive and which fleet state the sender has.
 
     Attributes:
         live: Entries that report to the sender, itself included.
         draining: Those of them that are draining because they stop.
         store_age_ms: Time since the store's last answer.
         version_by_topic: Version of each topic that the sender has.
+        sequence: Number of the last change that is included.
     """
 
     live: list[str]
     draining: list[str]
     store_age_ms: float
     version_by_topic: dict[str, int]
+    sequence: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class WatcherReportChange:
+    """What changed in a watcher's report since the one with the number before.
+
+    Attributes:
+        version_by_topic: The versions that changed.
+    """
+
+    sequence: int
+    joined: list[str]
+    lost: list[str]
+    started_draining: list[str]
+    stopped_draining: list[str]
+    store_age_ms: float
+    version_by_topic: dict[str, int]
+
+    @property
+    def is_empty(self) -> bool:
+        """Return whether nothing but the store's age changed."""
+        return not (
+            self.joined
+            or self.lost
+            or self.started_draining
+            or self.stopped_draining
+            or self.version_by_topic
+        )
 
 
 @dataclass(frozen=True, slots=True)
 class WatcherPulse:
-    """Heartbeat of a watcher: nothing but the store's age changed since its last report."""
+    """Heartbeat of a watcher: nothing but the store's age changed since its last report.
+
+    Attributes:
+        sequence: Number of the last change of its report.
+    """
 
     store_age_ms: float
+    sequence: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class ReportRequest:
+    """Requests a watcher's full report, as changes of it are missing."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -185,10 +236,12 @@
     Attributes:
         topic: Name of the topic.
         revision: Revision that the sender has; later changes suffice. 0 requests a snapshot.
+        digest: Digest of the items that the sender has, 0 without any.
     """
 
     topic: str
     revision: int
+    digest: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -231,8 +284,11 @@
     | KeyReply
     | ExplanationHandover
     | MemberReport
+    | MemberPulse
     | WatcherReport
+    | WatcherReportChange
     | WatcherPulse
+    | ReportRequest
     | StateRequest
     | StateNews
 )
@@ -251,13 +307,25 @@
         KeyReply,
         ExplanationHandover,
         MemberReport,
+        MemberPulse,
         WatcherReport,
+        WatcherReportChange,
         WatcherPulse,
+        ReportRequest,
         StateRequest,
         StateNews,
     )
 }
 
+# Numbers in place of the names of short messages that are sent often.
+_NUMBER_BY_CLASS: dict[type, int] = {
+    MemberPulse: 1,
+    WatcherPulse: 2,
+    WatcherReportChange: 3,
+    StateRequest: 4,
+}
+_CLASS_BY_NUMBER = {number: item for item, number in _NUMBER_BY_CLASS.items()}
+
 
 def revision_digest(revision_by_service: dict[str, int]) -> bytes:
     """Return a short digest of the revisions; collisions are very unlikely."""
@@ -269,7 +337,7 @@
 
 
 def encode(message: PeerMessage) -> bytes:
-    """Return ``message`` as a CBOR array: its class name, then its fields in order."""
+    """Return ``message`` as a CBOR array: its class name or number, then its fields in order."""
     values = [getattr(message, item.name) for item in fields(message)]
     match message:
         case Introduction(entry=entry):
@@ -280,7 +348,15 @@
             values[0] = [[getattr(item, part.name) for part in fields(item)] for item in notices]
         case KeyReply(reply=reply):
             values[1] = _reply_to_plain(reply)
-    return cbor2.dumps([type(message).__name__, *values])
+        case WatcherPulse(store_age_ms=store_age_ms):
+            values[0] = round(store_age_ms)  # at most 5 bytes in place of 9
+        case WatcherReportChange(store_age_ms=store_age_ms):
+            values[5] = round(store_age_ms)
+    kind = type(message)
+    data = cbor2.dumps([_NUMBER_BY_CLASS.get(kind, kind.__name__), *values])
+    if len(data) < LEAST_COMPRESSED_BYTES:
+        return data
+    return COMPRESSED_MARK + zlib.compress(data, COMPRESSION_LEVEL)
 
 
 def encode_once(message: PeerMessage) -> Encoded:
@@ -295,6 +371,8 @@
         MalformedMessage: The bytes are not valid CBOR or not a known message.
     """
     try:
+        if data.startswith(COMPRESSED_MARK):
+            data = zlib.decompressobj().decompress(data[1:], LARGEST_DECOMPRESSED_BYTES)
         tag, *values = cbor2.loads(data)
         match tag:
             case "Introduction":
@@ -305,8 +383,10 @@
                 values[0] = [RateLimitNotice(*item) for item in values[0]]
             case "KeyReply":
                 values[1] = _reply_from_plain(values[1])
-        return _CLASS_BY_TAG[tag](*values)
+        kind = _CLASS_BY_NUMBER[tag] if isinstance(tag, int) else _CLASS_BY_TAG[tag]
+        return kind(*values)
     except (
+        zlib.error,
         cbor2.CBORDecodeError,
         ValueError,
         TypeError,
--- a/packages/cassiahaven-entry/cassiahaven_entry/fleet_links.py
+++ b/packages/cassiahaven-entry/cassiahaven_entry/fleet_links.py
@@ -1,24 +1,28 @@
 """Peer links within a fleet: each entry subscribes to a few entries that watch the store."""
 
 from collections.abc import Callable
-from dataclasses import replace
 
 import eventlet
 
+from cassiahaven_core.edge import Topic
 from cassiahaven_core.membership import REPORT_TIMEOUT_MS, Fleet, Member
 from cassiahaven_core.peer_message import (
     CrashNotice,
     Encoded,
+    MemberPulse,
     MemberReport,
     PeerMessage,
     RateLimitNotice,
     RateLimitNotices,
+    ReportRequest,
     StateNews,
     StateRequest,
     WatcherPulse,
     WatcherReport,
+    WatcherReportChange,
     encode_once,
 )
+from cassiahaven_core.watcher_report import ReportMessage, ReportPublisher, ReportReplica
 from cassiahaven_entry.clock import MS_PER_S, now_ms
 from cassiahaven_entry.event import LogEvent, log
 from cassiahaven_entry.metrics import Metrics
@@ -34,6 +38,8 @@
 START_INTERVAL_MS = 10.0  # until the members are known, so that a start takes no longer
 NEAR_WATCHER_HEAD_START_MS = 250.0  # half the report interval; traffic between zones is billed
 MAX_ENCODED_REPLIES = 16
+# Operators are shown which entries have these in force.
+REPORTED_TOPICS = (Topic.CONFIGURATION.value, Topic.TABLES.value)
 CLUSTER = "fleet"
 
 
@@ -43,6 +49,7 @@
     Args:
         report: Returns the report for subscribers.
         versions: Returns the local version of each topic, by topic name.
+        state_request: Returns the request for the newest state of a topic.
         state_update: Returns the reply to a state request.
         on_state_update: Called with a state update and the name of the watcher that sent it.
         on_crash: Called with each notice of a request that crashed an endpoint.
@@ -52,6 +59,7 @@
     __slots__ = (
         "report",
         "versions",
+        "state_request",
         "state_update",
         "on_state_update",
         "on_crash",
@@ -63,6 +71,7 @@
         *,
         report: Callable[[], WatcherReport],
         versions: Callable[[], dict[str, int]],
+        state_request: Callable[[str], StateRequest],
         state_update: Callable[[StateRequest], StateNews],
         on_state_update: Callable[[StateNews, str], None],
         on_crash: Callable[[CrashNotice], None],
@@ -70,6 +79,7 @@
     ) -> None:
         self.report = report
         self.versions = versions
+        self.state_request = state_request
         self.state_update = state_update
         self.on_state_update = on_state_update
         self.on_crash = on_crash
@@ -122,28 +132,42 @@
         state: LinkCallbacks,
         request_pacer: StateRequestPacer,
         has_near_link: Callable[[], bool],
+        metrics: Metrics | None = None,
     ) -> None:
-        super().__init__(member.name, f"ws://{member.peers}", cluster=CLUSTER, key=key)
+        super().__init__(
+            member.name, f"ws://{member.peers}", cluster=CLUSTER, key=key, metrics=metrics
+        )
         self.failed_ms = float("-inf")
         self.is_near = member.availability_zone == fleet.own.availability_zone
         self._fleet = fleet
         self._state = state
         self._request_pacer = request_pacer
         self._has_near_link = has_near_link
-        self._version_by_topic: dict[str, int] = {}
-        self._reported_versions: dict[str, int] = {}
+        self._replica = ReportReplica()
+        self._report_requested_ms = float("-inf")
+        self._reported: tuple[bool, dict[str, int]] | None = None
 
     @property
     def is_connected(self) -> bool:
         """Return whether the link is connected."""
         return self._connection is not None
 
+    @property
+    def has_failed(self) -> bool:
+        """Return whether the link was lost or could not be opened."""
+        return self.failed_ms > float("-inf")
+
     def report(self, is_draining: bool) -> None:
-        """Send a liveness report to the watcher, with topic versions if they changed."""
+        """Tell the watcher what changed since the last report, or that this entry is alive."""
         versions = self._state.versions()
-        changed_versions = {} if versions == self._reported_versions else versions
-        if self.send(MemberReport(self._fleet.own.name, is_draining, changed_versions)):
-            self._reported_versions = versions
+        versions = {topic: versions[topic] for topic in REPORTED_TOPICS if topic in versions}
+        if (is_draining, versions) == self._reported:
+            self.send(MemberPulse())
+            return
+        known = {} if self._reported is None else self._reported[1]
+        changed = {topic: item for topic, item in versions.items() if item != known.get(topic)}
+        if self.send(MemberReport(self._fleet.own.name, is_draining, changed)):
+            self._reported = (is_draining, versions)
 
     def drop_if_silent(self) -> None:
         """Drop the connection if the watcher has been silent for too long."""
@@ -162,8 +186,9 @@
         self.failed_ms = now_ms()
 
     def _on_connected(self) -> None:
-        self._version_by_topic = {}
-        self._reported_versions = {}
+        self._replica.reset()
+        self._report_requested_ms = float("-inf")
+        self._reported = None
         self.report(self._fleet.own.name in self._fleet.draining)
 
     def _on_disconnected(self) -> None:
@@ -172,13 +197,8 @@
 
     def _receive(self, message: PeerMessage) -> None:
         match message:
-            case WatcherReport():
-                self._apply_update(message)
-            case WatcherPulse(store_age_ms=store_age_ms):
-                self._fleet.record_watcher_heartbeat(
-                    self.name, store_age_ms=store_age_ms, now_ms=now_ms()
-                )
-                self._request_outdated_topics()
+            case WatcherReport() | WatcherReportChange() | WatcherPulse():
+                self._apply_report(message)
             case StateNews(topic=topic):
                 self._request_pacer.mark_answered(topic)
                 self._state.on_state_update(message, self.name)
@@ -188,25 +208,37 @@
                 for notice in notices:
                     self._state.on_rate_limit(notice)
 
-    def _apply_update(self, report: WatcherReport) -> None:
-        self._fleet.record_watcher_report(
-            self.name,
-            live=report.live,
-            draining=report.draining,
-            store_age_ms=report.store_age_ms,
-            now_ms=now_ms(),
-        )
-        self._version_by_topic = report.version_by_topic
+    def _apply_report(self, message: ReportMessage) -> None:
+        before = self._replica.report
+        is_full_needed = self._replica.apply(message)
+        report = self._replica.report
+        if report is not before:
+            self._fleet.record_watcher_report(
+                self.name,
+                live=report.live,
+                draining=report.draining,
+                store_age_ms=report.store_age_ms,
+                now_ms=now_ms(),
+            )
+        else:
+            self._fleet.record_watcher_heartbeat(
+                self.name, store_age_ms=message.store_age_ms, now_ms=now_ms()
+            )
+        if is_full_needed and now_ms() - self._report_requested_ms > REQUEST_TIMEOUT_MS:
+            self._report_requested_ms = now_ms()
+            self.send(ReportRequest())
         self._request_outdated_topics()
 
     def _request_outdated_topics(self) -> None:
+        if self._replica.report is None:
+            return
         own = self._state.versions()
         prefers_another = not self.is_near and self._has_near_link()
-        for topic, version in self._version_by_topic.items():
+        for topic, version in self._replica.report.version_by_topic.items():
             if version > own[topic] and self._request_pacer.is_due(
                 topic, prefers_another=prefers_another, now_ms=now_ms()
             ):
-                self.send(StateRequest(topic, own[topic]))
+                self.send(self._state.state_request(topic))
 
 
 class FleetLinks(PeerSubscribers):
@@ -225,12 +257,13 @@
         self._state = state
         self._key = key
         self._name_by_connection: dict[str, str] = {}
-        self._published: WatcherReport | None = None
+        self._metrics = metrics
+        self._reports = ReportPublisher()
         self._published_ms = float("-inf")
         self._is_report_due = False
         self._waiting_notices: dict[tuple[str, str], RateLimitNotice] = {}
         self._request_pacer = StateRequestPacer()
-        self._encoded_replies: dict[tuple[str, int, int], Encoded] = {}
+        self._encoded_replies: dict[tuple[StateRequest, int], Encoded] = {}
         host, _, port = fleet.own.peers.rpartition(":")
         self._server = PeerServer(
             host,
@@ -287,11 +320,7 @@
         if not self.has_subscribers:
             return
         self._published_ms = now_ms()
-        # An unchanged report is replaced by a short keepalive.
-        report = self._state.report()
-        is_unchanged = replace(report, store_age_ms=0.0) == self._published
-        self._published = replace(report, store_age_ms=0.0)
-        self._server.publish(WatcherPulse(report.store_age_ms) if is_unchanged else report)
+        self._server.publish(self._reports.advance(self._state.report()))
 
     def publish(self, message: PeerMessage) -> None:
         """Send ``message`` to all subscribers and watchers."""
@@ -326,8 +355,11 @@
         self._server.drop()
 
     def greeting(self) -> list[PeerMessage]:
-        """Return the messages for a new subscriber."""
-        return [self._state.report()]
+        """Return the messages for a new subscriber.
+
+        The report is the last published one, since the next change applies to that.
+        """
+        return [self._full_report()]
 
     def receive(self, connection: str, message: PeerMessage) -> list[PeerMessage | Encoded]:
         """Handle a message of a subscriber and return the replies."""
@@ -341,6 +373,12 @@
                 )
                 if is_changed:
                     self.publish_report()
+            case MemberPulse():
+                name = self._name_by_connection.get(connection)
+                if name is not None:
+                    self._fleet.record_heartbeat(name, now_ms())
+            case ReportRequest():
+                return [self._full_report()]
             case StateRequest():
                 return [self._encoded_reply(message)]
             case CrashNotice():
@@ -360,9 +398,16 @@
             log(LogEvent.PEER_LOST, peer=name)
             self.publish_report()
 
+    def _full_report(self) -> WatcherReport:
+        report = self._state.report()
+        if self._reports.published is None or not self.has_subscribers:
+            # Nothing is published without subscribers, so the last report may be old.
+            self._reports.advance(report)
+        return self._reports.full(report.store_age_ms)
+
     def _encoded_reply(self, request: StateRequest) -> Encoded:
         # All subscribers send the same request at about the same time: encode the reply once.
-        key = (request.topic, request.revision, self._state.versions()[request.topic])
+        key = (request, self._state.versions()[request.topic])
         encoded = self._encoded_replies.get(key)
         if encoded is None:
             if len(self._encoded_replies) >= MAX_ENCODED_REPLIES:
@@ -371,7 +416,12 @@
         return encoded
 
     def _has_near_link(self) -> bool:
-        return any(link.is_near and link.is_connected for link in self.link_by_name.values())
+        # A link that is being opened counts: at the start of many entries the first link to be
+        # open would often be one to another zone.
+        return any(
+            link.is_near and (link.is_connected or not link.has_failed)
+            for link in self.link_by_name.values()
+        )
 
     def _follow_watchers(self) -> None:
         failed = frozenset(
@@ -398,6 +448,7 @@
                     self._state,
                     self._request_pacer,
                     self._has_near_link,
+                    self._metrics,
                 )
                 self.link_by_name[name] = link
                 spawn_supervised(f"link to {name}", link.run)
--- a/packages/cassiahaven-entry/cassiahaven_entry/routed_node.py
+++ b/packages/cassiahaven-entry/cassiahaven_entry/routed_node.py
@@ -146,6 +146,7 @@
         state = LinkCallbacks(
             report=self._report,
             versions=self.view.versions,
+            state_request=self.view.state_request,
             state_update=self.view.state_update,
             on_state_update=self.view.apply_update,
             on_crash=self._on_crash,
@@ -323,7 +324,7 @@
     def _report(self) -> WatcherReport:
         return WatcherReport(
             live=self.fleet.own_subscribers(now_ms()),
-            draining=sorted(self.fleet.draining),
+            draining=self.fleet.own_draining(),
             store_age_ms=min(self.feed.age_ms, 1e9),
             version_by_topic=self.view.versions(),
         )
