Serve accounts first that are served far less often than all together

Cause: priority and the order of arrival alone left less urgent accounts with next to nothing under overload, and calls of one account with different priorities waited in one queue in the order of arrival. An account's priority precedes the route's, which decides among accounts of equal priority. Lines of refused calls contain both shares. Without accounts nothing is counted.

--- a/packages/cassiahaven-core/cassiahaven_core/admission.py
+++ b/packages/cassiahaven-core/cassiahaven_core/admission.py
@@ -1,8 +1,9 @@
 """Admission limits and weighted fair queueing among the partners of one service."""
 
-from collections import OrderedDict
+from collections import Counter, OrderedDict
 from dataclasses import dataclass, field
 
+from cassiahaven_core.fair_service import FairService
 from cassiahaven_core.reason import RefusalReason
 from cassiahaven_core.table import CellValue
 
@@ -44,7 +45,11 @@
 
 @dataclass(slots=True)
 class PartnerState:
-    """Rate limit, in-flight calls and queue of one partner at this entry."""
+    """Rate limit, in-flight calls and queue of one partner at this entry.
+
+    Attributes:
+        waiting_by_priority: Number of queued calls of each priority.
+    """
 
     cell: CellValue
     tokens: float = 0.0
@@ -52,6 +57,25 @@
     in_flight: int = 0
     virtual_time: float = 0.0
     queue_by_call: OrderedDict[str, WaitingCall] = field(default_factory=OrderedDict)
+    waiting_by_priority: Counter[int] = field(default_factory=Counter)
+
+    def add(self, call: WaitingCall) -> None:
+        """Append a call to the queue."""
+        self.queue_by_call[call.call_id] = call
+        self.waiting_by_priority[call.priority] += 1
+
+    def remove(self, call: WaitingCall) -> bool:
+        """Remove a call from the queue and return whether it was queued."""
+        if self.queue_by_call.pop(call.call_id, None) is None:
+            return False
+        self.waiting_by_priority[call.priority] -= 1
+        if not self.waiting_by_priority[call.priority]:
+            del self.waiting_by_priority[call.priority]
+        return True
+
+    def waiting(self, priority: int) -> int:
+        """Return the number of queued calls that are at least as urgent as ``priority``."""
+        return sum(number for key, number in self.waiting_by_priority.items() if key <= priority)
 
 
 class Admission:
@@ -59,17 +83,21 @@
 
     Args:
         limit_share: Share of the fleet-wide limits enforced here, above 0 and at most 1.
+        fair_service: Finds the client accounts that are served far less often than others.
 
     Attributes:
         waiting: Number of waiting calls.
     """
 
-    __slots__ = ("partner_by_name", "limit_share", "waiting", "_virtual_time")
+    __slots__ = ("partner_by_name", "limit_share", "waiting", "_fair_service", "_virtual_time")
 
-    def __init__(self, *, limit_share: float = 1.0) -> None:
+    def __init__(
+        self, *, limit_share: float = 1.0, fair_service: FairService | None = None
+    ) -> None:
         self.partner_by_name: dict[str, PartnerState] = {}
         self.limit_share = limit_share
         self.waiting = 0
+        self._fair_service = fair_service or FairService()
         self._virtual_time = 0.0
 
     @property
@@ -100,59 +128,74 @@
         if not state.queue_by_call and not state.in_flight:
             # An idle partner must not accumulate credit against active partners.
             state.virtual_time = max(state.virtual_time, self._virtual_time)
-        state.queue_by_call[call.call_id] = call
+        state.add(call)
         self.waiting += 1
         return None
 
     def requeue(self, call: WaitingCall) -> None:
         """Return a previously admitted call to the head of its partner's queue."""
-        queue = self.partner_by_name[call.partner].queue_by_call
-        queue[call.call_id] = call
-        queue.move_to_end(call.call_id, last=False)
+        state = self.partner_by_name[call.partner]
+        state.add(call)
+        state.queue_by_call.move_to_end(call.call_id, last=False)
         self.waiting += 1
 
     def expected_calls_ahead(self, partner: str, priority: int = 0) -> float:
         """Return the expected number of calls served before a new call of ``partner``."""
         state = self.partner_by_name[partner]
+        is_behind = self._fair_service.is_behind(partner)
         weights = 0.0
         waiting = 0
-        for item in self.partner_by_name.values():
-            if item.queue_by_call and next(iter(item.queue_by_call.values())).priority > priority:
+        for name, item in self.partner_by_name.items():
+            if item is not state and not item.queue_by_call:
                 continue
-            waiting += len(item.queue_by_call)
-            if item.queue_by_call or item is state:
+            if item is state or self._fair_service.is_behind(name) == is_behind:
+                # Among accounts that are behind, priority does not decide.
+                is_any = is_behind and item is not state
+                ahead = len(item.queue_by_call) if is_any else item.waiting(priority)
+            else:
+                ahead = 0 if is_behind else len(item.queue_by_call)
+            waiting += ahead
+            if ahead or item is state:
                 weights += item.cell.weight
         if not weights:
             return 0.0
         share = state.cell.weight / weights
-        ahead = len(state.queue_by_call) / share if share else float("inf")
-        return min(ahead, waiting)
+        own = state.waiting(priority)
+        return min(own / share if share else float("inf"), waiting)
 
     def next(self, now_ms: float) -> WaitingCall | None:
         """Return the call to serve next, without removing it.
 
-        Calls that can still meet their target go first, so that a backlog does not make every later
-        call late too. Among these, priority decides, then weighted fair queueing.
+        Accounts that are served far less often than others go first. Then calls that can still meet
+        their target, so that a backlog does not make every later call late too. Among these,
+        priority decides, then weighted fair queueing.
         """
         if not self.waiting:
             return None
+        self._fair_service.expire(now_ms)
         best: WaitingCall | None = None
-        best_key = (True, 0, 0.0)
-        for state in self.partner_by_name.values():
+        best_key = (True, True, 0, 0.0)
+        for name, state in self.partner_by_name.items():
             if not state.queue_by_call or state.in_flight >= self._concurrency(state):
                 continue
             call = _first_on_time(state, now_ms)
-            key = (call.start_by_ms <= now_ms, call.priority, state.virtual_time)
+            is_behind = self._fair_service.is_behind(name)
+            priority = 0 if is_behind else call.priority
+            is_late = call.start_by_ms <= now_ms
+            key = (not is_behind, is_late, priority, state.virtual_time)
             if best is None or key < best_key:
                 best, best_key = call, key
         return best
 
     def waiting_calls(self) -> list[WaitingCall]:
-        """Return all waiting calls, sorted by priority and arrival."""
-        calls = [
-            call for state in self.partner_by_name.values() for call in state.queue_by_call.values()
-        ]
-        calls.sort(key=lambda call: (call.priority, call.arrived_ms))
+        """Return all waiting calls, sorted by priority and arrival, but behind accounts first."""
+        calls: list[WaitingCall] = []
+        behind: set[str] = set()
+        for name, state in self.partner_by_name.items():
+            calls.extend(state.queue_by_call.values())
+            if state.queue_by_call and self._fair_service.is_behind(name):
+                behind.add(name)
+        calls.sort(key=lambda call: (call.partner not in behind, call.priority, call.arrived_ms))
         return calls
 
     def start(self, call: WaitingCall, cost_ms: float) -> None:
@@ -165,17 +208,18 @@
         state = self.partner_by_name[call.partner]
         self.withdraw(call)
         state.in_flight += 1
+        self._fair_service.start(call.partner)
         self._virtual_time = max(self._virtual_time, state.virtual_time)
         state.virtual_time += cost_ms / state.cell.weight if state.cell.weight else 0.0
 
     def finish(self, partner: str) -> None:
         """Release the in-flight count of a call of ``partner``."""
         self.partner_by_name[partner].in_flight -= 1
+        self._fair_service.finish(partner)
 
     def withdraw(self, call: WaitingCall) -> bool:
         """Remove ``call`` from the queue and return whether it was queued."""
-        queue = self.partner_by_name[call.partner].queue_by_call
-        if queue.pop(call.call_id, None) is None:
+        if not self.partner_by_name[call.partner].remove(call):
             return False
         self.waiting -= 1
         return True
@@ -207,6 +251,12 @@
 
 
 def _first_on_time(state: PartnerState, now_ms: float) -> WaitingCall:
+    if len(state.waiting_by_priority) > 1:
+        # The calls of an account may belong to routes of different priorities.
+        return min(
+            state.queue_by_call.values(),
+            key=lambda call: (call.start_by_ms <= now_ms, call.priority),
+        )
     calls = iter(state.queue_by_call.values())
     oldest = next(calls)
     if oldest.start_by_ms > now_ms:
--- a/packages/cassiahaven-entry/cassiahaven_entry/call.py
+++ b/packages/cassiahaven-entry/cassiahaven_entry/call.py
@@ -66,6 +66,11 @@
         """Return the partner that sent the call."""
         return self.waiting.partner
 
+    @property
+    def is_of_account(self) -> bool:
+        """Return whether the call belongs to a client account."""
+        return self.account is not None and bool(self.account.name)
+
     def drop_body(self) -> None:
         """Drop the request's body, which no further attempt needs."""
         self.request = replace(self.request, body=b"")
--- a/packages/cassiahaven-entry/cassiahaven_entry/routed_calls.py
+++ b/packages/cassiahaven-entry/cassiahaven_entry/routed_calls.py
@@ -8,6 +8,7 @@
 from cassiahaven_core.answer_record import AnswerRecord
 from cassiahaven_core.edge import CallRequest, CallResponse
 from cassiahaven_core.explanation import ExplanationMemory
+from cassiahaven_core.fair_service import FairService
 from cassiahaven_core.outcome import NotRun, Outcome, Ran, Unknown
 from cassiahaven_core.reason import RefusalReason, UnknownReason
 from cassiahaven_core.route import NoRouteReason, Route, RoutingTable
@@ -27,6 +28,18 @@
     NoRouteReason.REJECTED_ROUTE: RefusalReason.REJECTED_ROUTE,
 }
 CONTENT_LENGTH = "content-length"
+RAN = Ran(0, "").header
+# Refusals that say nothing about capacity: operators block or limit the calls, or they are faulty.
+REFUSALS_NOT_COUNTED = frozenset(
+    {
+        RefusalReason.UNAUTHENTICATED,
+        RefusalReason.ACCOUNTS_INCOMPLETE,
+        RefusalReason.STORE_VIEW_STALE,
+        RefusalReason.PARTNER_BLOCKED,
+        RefusalReason.RATE_LIMITED,
+        RefusalReason.QUARANTINED,
+    }
+)
 CONFIGURATION_RETRY_MS = 500.0  # a configuration or contact to the store may arrive by then
 
 
@@ -40,6 +53,7 @@
         attempts: Sends calls to upstreams and retries them.
         dialect: Protocol that callers speak.
         has_current_view: Returns whether the state of accounts is recent enough to accept keys.
+        fair_service: Counts of the client accounts' calls.
     """
 
     def __init__(
@@ -52,6 +66,7 @@
         *,
         metrics: Metrics,
         has_current_view: Callable[[], bool] = lambda: True,
+        fair_service: FairService | None = None,
     ) -> None:
         self._process = process
         self._routing = routing
@@ -60,6 +75,7 @@
         self._dialect = dialect
         self._metrics = metrics
         self._has_current_view = has_current_view
+        self._fair_service = fair_service or FairService()
         self._numbers = count(1)
         self.explanations = ExplanationMemory()
 
@@ -185,6 +201,9 @@
         return CallResponse(answer.status, headers, iter((answer.body,)))
 
     def _count(self, call: Call, outcome: Outcome) -> None:
+        if call.is_of_account and _is_capacity_tried(outcome):
+            is_served = isinstance(outcome, Ran)
+            self._fair_service.record(call.partner, is_served=is_served, now_ms=now_ms())
         kind = outcome.header.partition(";")[0]
         self._metrics.calls.labels(call.service, call.partner, kind).inc()
         self._metrics.latency.record(call.service, now_ms() - call.waiting.arrived_ms)
@@ -196,6 +215,15 @@
             case Ran():
                 pass
 
+    def _fairness(self, account: str) -> dict[str, float | str | None]:
+        """Return how often an account and all accounts together were served lately."""
+        share, overall = self._fair_service.share(account), self._fair_service.overall_share
+        return {
+            "account": account,
+            "account_share": None if share is None else round(share, 3),
+            "overall_share": None if overall is None else round(overall, 3),
+        }
+
     def _record_end(
         self,
         call: Call,
@@ -206,6 +234,7 @@
         record: AnswerRecord | None = None,
     ) -> None:
         call.explanation.outcome = outcome
+        is_fairness_shown = call.is_of_account and outcome != RAN
         # Callers identify a call by the request id that they sent.
         call.explanation.call_id = call.request.request_id or call.call_id
         self.explanations.add(call.explanation)
@@ -221,6 +250,7 @@
             target_ms=route.target_ms,
             took_ms=round(now_ms() - call.waiting.arrived_ms, 1),
             answer=record.to_plain() if record is not None else None,
+            **(self._fairness(call.partner) if is_fairness_shown else {}),
             steps=[
                 f"{step.at_ms:.0f} {step.what} {step.detail}" for step in call.explanation.steps
             ],
@@ -231,3 +261,7 @@
     if account is None:
         return route.priority
     return combined_priority(account.priority, route.priority)
+
+
+def _is_capacity_tried(outcome: Outcome) -> bool:
+    return not (isinstance(outcome, NotRun) and outcome.reason in REFUSALS_NOT_COUNTED)
--- a/packages/cassiahaven-entry/cassiahaven_entry/routed_node.py
+++ b/packages/cassiahaven-entry/cassiahaven_entry/routed_node.py
@@ -9,6 +9,7 @@
 
 from cassiahaven_core.edge import CallResponse, StoreUnavailable, Topic
 from cassiahaven_core.endpoint_address import EndpointAddress
+from cassiahaven_core.fair_service import FairService
 from cassiahaven_core.finding import InvalidDocument
 from cassiahaven_core.membership import Fleet, Member
 from cassiahaven_core.peer_message import (
@@ -95,6 +96,7 @@
             settings.cores,
             str(SocketAddress(settings.callers.host, settings.metrics_port)),
         )
+        self.fair_service = FairService()
         self._build_fleet()
         self._build_calls()
 
@@ -178,6 +180,7 @@
             callers,
             metrics=self.metrics,
             has_current_view=self._has_current_view,
+            fair_service=self.fair_service,
         )
         caller_address = self.settings.callers
         self.frontend = HttpFrontend(
@@ -218,6 +221,7 @@
                 settings.availability_zone,
                 entry=settings.name,
                 zones=settings.region_by_zone,
+                fair_service=self.fair_service,
             )
             self._task_by_service[service] = task
             task.policy.retry_budget.limits = self._retry_limits()
--- a/packages/cassiahaven-entry/cassiahaven_entry/service_task.py
+++ b/packages/cassiahaven-entry/cassiahaven_entry/service_task.py
@@ -9,6 +9,7 @@
 from cassiahaven_core.endpoint import CallResult, LoadReport, ProbeFailed
 from cassiahaven_core.endpoint_address import EndpointAddress
 from cassiahaven_core.endpoint_gate import SlotShare
+from cassiahaven_core.fair_service import FairService
 from cassiahaven_core.lifecycle import EndpointEvent, EndpointStatus
 from cassiahaven_core.peer_message import RateLimitNotice
 from cassiahaven_core.pool import Pool
@@ -37,13 +38,20 @@
         availability_zone: Availability zone of this entry.
         entry: Name of this entry.
         zones: All availability zones.
+        fair_service: Counts of the client accounts' calls at this entry.
     """
 
     def __init__(
-        self, service: str, availability_zone: str, *, entry: str = "", zones: Iterable[str] = ()
+        self,
+        service: str,
+        availability_zone: str,
+        *,
+        entry: str = "",
+        zones: Iterable[str] = (),
+        fair_service: FairService | None = None,
     ) -> None:
         self.service = service
-        self.policy = ServicePolicy(service, Pool(), Admission())
+        self.policy = ServicePolicy(service, Pool(), Admission(fair_service=fair_service))
         self.demand_per_s = 0.0
         self.health_path = ""
         self._availability_zone = availability_zone
