--- a/packages/cassiahaven-entry/cassiahaven_entry/routed_node.py
+++ b/packages/cassiahaven-entry/cassiahaven_entry/routed_node.py
@@ -11,6 +11,7 @@
 from cassiahaven_core.cold_start import ColdListings, ColdShare, ColdShares, has_contact
 from cassiahaven_core.edge import CallResponse, StoreUnavailable, Topic
 from cassiahaven_core.endpoint_address import EndpointAddress
+from cassiahaven_core.fair_service import FairService
 from cassiahaven_core.finding import InvalidDocument
 from cassiahaven_core.membership import Fleet, Member
 from cassiahaven_core.peer_message import (
@@ -100,6 +101,7 @@
             settings.cores,
             str(SocketAddress(settings.callers.host, settings.metrics_port)),
         )
+        self.fair_service = FairService()
         self._build_fleet()
         self._build_calls()
 
@@ -190,6 +192,7 @@
             callers,
             metrics=self.metrics,
             has_current_view=self._has_current_view,
+            fair_service=self.fair_service,
         )
         caller_address = self.settings.callers
         self.frontend = HttpFrontend(
@@ -230,6 +233,7 @@
                 settings.availability_zone,
                 entry=settings.name,
                 zones=settings.region_by_zone,
+                fair_service=self.fair_service,
             )
             self._task_by_service[service] = task
             task.policy.retry_budget.limits = self._retry_limits()
