--- a/packages/cassiahaven-cli/cassiahaven_cli/commands.py
+++ b/packages/cassiahaven-cli/cassiahaven_cli/commands.py
@@ -9,6 +9,7 @@
 from cassiahaven_cli.failure import CommandFailed, ExitCode
 from cassiahaven_cli.report import (
     columns,
+    configuration_report,
     effective_report,
     explanation_report,
     status_report,
@@ -17,9 +18,12 @@
 )
 from cassiahaven_core.declaration import KnownNames, read_declarations
 from cassiahaven_core.finding import InvalidDocument
-from cassiahaven_core.table import CELL_FIELDS, INTEGER_FIELDS, drain_row
+from cassiahaven_core.table import CELL_FIELDS, DRAIN_ROW_PREFIX, INTEGER_FIELDS, drain_row
 from cassiahaven_core.table_codec import value_to_plain
 
+# Rows of a table that declarations do not hold.
+UNDECLARED_ROWS = (DRAIN_ROW_PREFIX, "route:")
+
 
 class Table:
     """Read and change the table of weights and limits."""
@@ -140,7 +144,9 @@
         changes = []
         for declaration in declarations:
             rows = self._client.get(f"/v1/table/{declaration.service}")["rows"]
-            current = {name: row for name, row in rows.items() if not name.startswith("endpoint:")}
+            current = {
+                name: row for name, row in rows.items() if not name.startswith(UNDECLARED_ROWS)
+            }
             wanted = {row: value_to_plain(cell) for row, cell in declaration.cell_by_row.items()}
             for row in sorted(current.keys() | wanted.keys()):
                 before = current[row]["value"] if row in current else None
@@ -163,6 +169,20 @@
         plain = self._client.get("/v1/status")
         return _dump(plain) if json else status_report(plain)
 
+    def effective(self, row: str | None = None, *, json: bool = False) -> str:  # noqa: A002
+        """Show rows of the configuration in force that apply to all services, such as accounts.
+
+        Args:
+            row: Name of one row, such as ``account:NAME``; default: all rows.
+            json: Print JSON.
+        """
+        rows = self._client.get("/v1/effective")
+        if row is not None:
+            if row not in rows:
+                raise CommandFailed(f"no row {row} in force", ExitCode.NOT_FOUND)
+            rows = {row: rows[row]}
+        return _dump(rows) if json else configuration_report(rows)
+
     def why(self, call_id: str, *, json: bool = False) -> str:  # noqa: A002
         """Explain what happened to a call and why.
 
--- a/packages/cassiahaven-cli/cassiahaven_cli/report.py
+++ b/packages/cassiahaven-cli/cassiahaven_cli/report.py
@@ -25,15 +25,19 @@
 
 def table_report(plain: dict[str, Any]) -> str:
     """Format a service's rows and at how many entries each is in force."""
-    rows = []
-    for name, row in plain["rows"].items():
-        in_force = f"{row['in_force']}/{row['entries']}"
-        missing = ",".join(row["missing"]) or "-"
-        rows.append([name, value_text(row["value"]), row["version"], in_force, missing])
+    rows = _rollout_rows(plain["rows"])
     title = f"{plain['service']} at revision {plain['revision']}"
     return f"{title}\n{columns(['row', 'set to', 'version', 'in force', 'missing at'], rows)}"
 
 
+def configuration_report(rows: dict[str, Any]) -> str:
+    """Format rows of the configuration and at how many entries each is in force."""
+    if not rows:
+        return "the configuration has no such rows"
+    header = ["row", "set to", "version", "in force", "missing at"]
+    return columns(header, _rollout_rows(rows))
+
+
 def effective_report(zone: str, partner: str, plain: dict[str, Any]) -> str:
     """Format the fields in force for a zone and partner, each with its source row."""
     rows = [[name, item["value"], item["row"]] for name, item in plain.items()]
@@ -74,6 +78,19 @@
     return f"{head}\n{columns(['ms', 'what', 'detail'], steps)}"
 
 
+def _rollout_rows(rows: dict[str, Any]) -> list[list[Any]]:
+    return [
+        [
+            name,
+            value_text(row["value"]),
+            row["version"],
+            f"{row['in_force']}/{row['entries']}",
+            ",".join(row["missing"]) or "-",
+        ]
+        for name, row in rows.items()
+    ]
+
+
 def _configuration_report(plain: dict[str, Any]) -> str:
     rejected = [[item["table"], item["row"], item["finding"]] for item in plain["rejected"]]
     head = f"configuration {plain['version']}: {len(rejected)} rows rejected"
--- a/packages/cassiahaven-core/cassiahaven_core/fair_service.py
+++ b/packages/cassiahaven-core/cassiahaven_core/fair_service.py
@@ -119,6 +119,10 @@
             account, running
         )
 
+    def count_behind(self) -> int:
+        """Return the number of accounts that are served far less often than all together."""
+        return sum(self.is_behind(account) for account in self._window.asked_by_account)
+
     def share(self, account: str) -> float | None:
         """Return the share of an account's calls that were served, ``None`` if there were none."""
         asked = self._window.asked_by_account.get(account, 0)
--- a/packages/cassiahaven-core/tests/test_fair_service.py
+++ b/packages/cassiahaven-core/tests/test_fair_service.py
@@ -41,48 +41,37 @@
     """Send calls to a service and count for each account and route what was asked and served."""
 
     def __init__(self, *, seed, fair_service, retrying_share=0.0, judged_from_ms=0.0):
-        self.judged_from_ms = judged_from_ms
         self.rng = random.Random(seed)
         self.fair_service = fair_service
         pool = Pool(rng=random.Random(seed))
-        pool.set_endpoints(
-            [EndpointAddress(f"e{n}", "1", "zone", "h", 1, 1) for n in range(SLOTS)], 0.0
-        )
+        endpoints = [EndpointAddress(f"e{n}", "1", "zone", "h", 1, 1) for n in range(SLOTS)]
+        pool.set_endpoints(endpoints, 0.0)
         self.policy = ServicePolicy("s", pool, Admission(fair_service=fair_service))
         self.retrying_share = retrying_share
+        self.judged_from_ms = judged_from_ms
         self.asked, self.served = Counter(), Counter()
-        self.calls, self.left_by_id = {}, {}
+        self.call_by_id = {}
         self.numbers = count()
         self.events = []
 
     def run(self, sources):
         for source in sources:
-            at_ms = 0.0
             self.policy.admission.set_cell(source.account, BUILT_IN_DEFAULTS, 0.0)
-            while True:
+            at_ms = 0.0
+            while at_ms < LOAD_MS:
+                retries = 3 if self.rng.random() < self.retrying_share else 0
+                self.at(at_ms + self.rng.random(), self.ask, source, retries)
                 per_s = source.per_s * (source.surge if at_ms >= SURGE_MS else 1.0)
                 at_ms += self.rng.expovariate(per_s) * 1000
-                if at_ms >= LOAD_MS:
-                    break
-                retries = 3 if self.rng.random() < self.retrying_share else 0
-                self.add(at_ms, "ask", (source, retries))
         for number in range(int(LOAD_MS / TICK_MS)):
-            self.add(number * TICK_MS, "tick", None)
+            self.at(number * TICK_MS, lambda now_ms: self.apply(self.policy.tick(now_ms), now_ms))
         while self.events:
-            at_ms, _, kind, item = heapq.heappop(self.events)
-            if kind == "ask":
-                self.ask(*item, at_ms)
-            elif kind == "tick":
-                self.apply(self.policy.tick(at_ms), at_ms)
-            else:
-                call, endpoint = item
-                effects = self.policy.finish(call, endpoint, CallResult.OK, at_ms)
-                self.end(call, True, at_ms)
-                self.apply(effects, at_ms)
+            now_ms, _, action, arguments = heapq.heappop(self.events)
+            action(*arguments, now_ms)
         return self
 
-    def add(self, at_ms, kind, item):
-        heapq.heappush(self.events, (at_ms, next(self.numbers), kind, item))
+    def at(self, at_ms, action, *arguments):
+        heapq.heappush(self.events, (at_ms, next(self.numbers), action, arguments))
 
     def ask(self, source, retries, now_ms):
         call = WaitingCall(
@@ -95,28 +84,33 @@
             target_at_ms=now_ms + 500.0,
             work_class="route",
         )
-        self.calls[call.call_id] = (call, source, retries)
+        self.call_by_id[call.call_id] = (call, source, retries)
         self.apply(self.policy.submit(call, now_ms), now_ms)
 
     def apply(self, effects, now_ms):
         for effect in effects:
-            call, _, _ = self.calls[effect.call_id]
+            call, _, _ = self.call_by_id[effect.call_id]
             if isinstance(effect, Dispatch):
                 self.policy.pool.mark_sent(effect.address.endpoint, call.call_id)
                 ends_ms = now_ms + WORK_MS * self.rng.uniform(0.8, 1.2)
-                self.add(ends_ms, "end", (call, effect.address.endpoint))
+                self.at(ends_ms, self.finish, call, effect.address.endpoint)
             else:
                 self.end(call, False, now_ms)
 
+    def finish(self, call, endpoint, now_ms):
+        effects = self.policy.finish(call, endpoint, CallResult.OK, now_ms)
+        self.end(call, True, now_ms)
+        self.apply(effects, now_ms)
+
     def end(self, call, is_served, now_ms):
-        _, source, retries = self.calls.pop(call.call_id)
+        _, source, retries = self.call_by_id.pop(call.call_id)
         self.fair_service.record(call.partner, is_served=is_served, now_ms=now_ms)
         if call.arrived_ms >= self.judged_from_ms:
             for key in (source.account, source.route_priority, "all"):
                 self.asked[key] += 1
                 self.served[key] += is_served
         if not is_served and retries:
-            self.add(now_ms + 1.0, "ask", (source, retries - 1))
+            self.at(now_ms + 1.0, self.ask, source, retries - 1)
 
     def share(self, key="all"):
         return self.served[key] / self.asked[key]
@@ -135,35 +129,23 @@
 
 FLOOD = [Source("flood", 30.0, surge=7.0), *(Source(f"a{n}", 3.0, priority=1) for n in range(20))]
 SIZES = [200.0 / (n + 1) / 5 for n in range(85)]
+EQUAL_FLOOD = [replace(source, priority=0) for source in FLOOD]
+RETRYING = [Source(f"a{n}", size, priority=n % 3) for n, size in enumerate(SIZES)]
+FULL = [Source(f"a{n}", 9.5, priority=n % 2) for n in range(20)]
 LOADS = {
     "an urgent account sends seven times its usual load": (FLOOD, 0.0, SURGE_MS),
-    "an equal account sends seven times its usual load": (
-        [replace(source, priority=0) for source in FLOOD],
-        0.0,
-        SURGE_MS,
-    ),
-    "callers retry at once": (
-        [Source(f"a{n}", size, priority=n % 3) for n, size in enumerate(SIZES)],
-        0.3,
-        0.0,
-    ),
-    "urgent accounts nearly fill the capacity": (
-        [Source(f"a{n}", 9.5, priority=n % 2) for n in range(20)],
-        0.0,
-        0.0,
-    ),
+    "an equal account sends seven times its usual load": (EQUAL_FLOOD, 0.0, SURGE_MS),
+    "callers retry at once": (RETRYING, 0.3, 0.0),
+    "urgent accounts nearly fill the capacity": (FULL, 0.0, 0.0),
 }
 
 
-def replay(name, fair_service):
-    sources, retrying_share, judged_from_ms = LOADS[name]
+def replay(name, fair_service, seed=1):
+    sources, share, from_ms = LOADS[name]
     replayed = Replay(
-        seed=1,
-        fair_service=fair_service,
-        retrying_share=retrying_share,
-        judged_from_ms=judged_from_ms,
-    ).run(sources)
-    return replayed, replayed.lowest(sources)
+        seed=seed, fair_service=fair_service, retrying_share=share, judged_from_ms=from_ms
+    )
+    return replayed.run(sources), replayed.lowest(sources)
 
 
 @pytest.mark.parametrize("name", LOADS)
--- a/packages/cassiahaven-entry/cassiahaven_entry/metrics.py
+++ b/packages/cassiahaven-entry/cassiahaven_entry/metrics.py
@@ -110,6 +110,13 @@
         self.rate_limited_endpoints = self._gauge(
             "rate_limited_endpoints", "Endpoints that name a rate limit"
         )
+        self.accounts = self._gauge("accounts", "Client accounts in force")
+        self.accounts_behind = self._gauge(
+            "accounts_behind", "Client accounts that are served far less often than all together"
+        )
+        self.calls_not_sent = self._counter(
+            "calls_not_sent", "Calls whose key was no longer valid when due", "service", "reason"
+        )
         self.rejected_rows = self._gauge(
             "rejected_rows", "Rows of the configuration in force that cannot be used"
         )
--- a/packages/cassiahaven-entry/cassiahaven_entry/operator_api_base.py
+++ b/packages/cassiahaven-entry/cassiahaven_entry/operator_api_base.py
@@ -118,6 +118,10 @@
     def _effective(self, service: str, zone: str, partner: str) -> dict[str, Any]:
         """Return each effective value for a cell and the row that it comes from."""
 
+    def _configuration_rows(self) -> dict[str, Any]:
+        """Return the rows of the configuration that apply to all services, with their rollout."""
+        return {}
+
     @abstractmethod
     def _find_explanation(self, call_id: str) -> Explanation | None:
         """Return the explanation of a call, ``None`` if this entry has none."""
@@ -131,6 +135,8 @@
                 return json_reply(self._names())
             case "GET", ["v1", "status"]:
                 return json_reply(self._status())
+            case "GET", ["v1", "effective"]:
+                return json_reply(self._configuration_rows())
             case "GET", ["v1", "calls", call_id]:
                 return self._explanation(call_id)
             case "GET", ["v1", "table", service]:
--- a/packages/cassiahaven-entry/cassiahaven_entry/routed_calls.py
+++ b/packages/cassiahaven-entry/cassiahaven_entry/routed_calls.py
@@ -118,6 +118,7 @@
         account = self._identify(call.request, route)
         if isinstance(account, RefusalReason):
             call.note("not sent", account.value)
+            self._metrics.calls_not_sent.labels(call.service, account.value).inc()
             return account
         call.account = account
         return None
--- a/packages/cassiahaven-entry/cassiahaven_entry/routed_node.py
+++ b/packages/cassiahaven-entry/cassiahaven_entry/routed_node.py
@@ -7,6 +7,7 @@
 import eventlet
 from eventlet.greenthread import GreenThread
 
+from cassiahaven_core.account import ClientAccount
 from cassiahaven_core.edge import CallResponse, StoreUnavailable, Topic
 from cassiahaven_core.endpoint_address import EndpointAddress
 from cassiahaven_core.fair_service import FairService
@@ -32,7 +33,7 @@
 from cassiahaven_entry.clock import MS_PER_S, now_ms
 from cassiahaven_entry.event import LogEvent, log
 from cassiahaven_entry.fleet_links import FleetLinks, LinkCallbacks
-from cassiahaven_entry.fleet_view import FleetView
+from cassiahaven_entry.fleet_view import MAX_LISTED_NAMES, FleetView
 from cassiahaven_entry.gateway import HttpFrontend
 from cassiahaven_entry.http_transport import HttpTransport
 from cassiahaven_entry.metrics import Metrics
@@ -82,6 +83,8 @@
         self._task_by_service: dict[str, ServiceTask] = {}
         self._registrations_by_service: dict[str, list[Registration]] = {}
         self._outdated_services: set[str] = set()
+        self._accounts: tuple[ClientAccount, ...] | None = None
+        self._had_current_view = True
         self._live: set[str] = set()
         self._serving: dict[str, str] = {}
         self._serving_inputs: tuple[object, ...] = ()
@@ -133,6 +136,7 @@
                 for task in self._task_by_service.values()
             )
         )
+        self.metrics.accounts_behind.set_function(self.fair_service.count_behind)
         self.metrics.kept_endpoints.set_function(lambda: len(self.view.registry.kept_endpoints))
         state = LinkCallbacks(
             report=self._report,
@@ -330,10 +334,34 @@
 
     def _on_config(self, config: GatewayConfig) -> None:
         self.metrics.rejected_rows.set(len(config.rejected))
+        self._log_accounts(config)
         for spec in config.service_by_name.values():
             self._get_or_create_task(spec.name).health_path = spec.health_path
         self.links.publish_report()
 
+    def _log_accounts(self, config: GatewayConfig) -> None:
+        """Log which accounts and keys came and went, without the keys."""
+        before, self._accounts = self._accounts, config.accounts
+        if before == self._accounts:
+            return
+        old = {account.name: account for account in before or ()}
+        new = {account.name: account for account in self._accounts or ()}
+        self.metrics.accounts.set(len(new))
+        rekeyed = [
+            name
+            for name in old.keys() & new.keys()
+            if set(old[name].key_digests) != set(new[name].key_digests)
+        ]
+        log(
+            LogEvent.ACCOUNTS_CHANGED,
+            version=config.version,
+            needed=self._accounts is not None,
+            accounts=len(new),
+            added=sorted(new.keys() - old.keys())[:MAX_LISTED_NAMES],
+            removed=sorted(old.keys() - new.keys())[:MAX_LISTED_NAMES],
+            rekeyed=sorted(rekeyed)[:MAX_LISTED_NAMES],
+        )
+
     def _apply_table(self, table: ServiceTable, source: str) -> None:
         self.tables.add_service(table.service)
         self.tables.merge_rows(TableRows(table.service, table.revision, table.row_by_name), source)
@@ -468,6 +496,14 @@
                 live=len(live),
             )
             self._live = live
+        has_current_view = self._has_current_view()
+        if has_current_view != self._had_current_view and self.routing.has_accounts:
+            self._had_current_view = has_current_view
+            log(
+                LogEvent.KEYS_REFUSED,
+                refused=not has_current_view,
+                store_age_ms=round(self.fleet.store.answer_age_ms(now_ms())),
+            )
         if self.is_ready != self._is_ready:
             self._is_ready = self.is_ready
             log(LogEvent.READINESS_CHANGED, ready=self._is_ready, version=self.routing.version)
--- a/packages/cassiahaven-entry/cassiahaven_entry/routed_operators.py
+++ b/packages/cassiahaven-entry/cassiahaven_entry/routed_operators.py
@@ -6,6 +6,7 @@
 from dataclasses import asdict
 from typing import Any
 
+from cassiahaven_core.account import ClientAccount
 from cassiahaven_core.edge import CallResponse, Topic
 from cassiahaven_core.explanation import Explanation
 from cassiahaven_core.route import RouteRule
@@ -20,6 +21,7 @@
 from cassiahaven_entry.routed_node import RoutedNode
 
 ROUTE_ROW_PREFIX = "route:"
+ACCOUNT_ROW_PREFIX = "account:"
 CONFIGURATION_ROW = "configuration"
 
 
@@ -27,7 +29,8 @@
     """Handle operator requests to one entry.
 
     Tables contain three kinds of rows: cells and drained endpoints, which operators edit here, and
-    read-only routes, which come from the configuration that the platform's operators write.
+    read-only routes, which come from the configuration that the platform's operators write. Client
+    accounts come from there too, and apply to all services.
 
     Args:
         node: The entry.
@@ -48,7 +51,11 @@
         return {
             "services": sorted(self._node.tables.table_by_service),
             "availability_zones": sorted(self._node.settings.region_by_zone),
-            "partners": sorted({route.name for route in config.routes} if config else ()),
+            "partners": sorted(
+                {route.name for route in config.routes} | self._node.routing.account_by_name.keys()
+                if config
+                else ()
+            ),
         }
 
     def _rules(self, service: str) -> dict[str, RouteRule]:
@@ -95,8 +102,31 @@
         if rule is not None:
             row = f"{ROUTE_ROW_PREFIX}{partner}, configuration {self._node.routing.version}"
             fields |= {name: {"value": value, "row": row} for name, value in asdict(rule).items()}
+        account = self._node.routing.account_by_name.get(partner)
+        if account is not None:
+            row = f"{ACCOUNT_ROW_PREFIX}{partner}, configuration {self._node.routing.version}"
+            # The cell has a rate of its own, which applies in addition.
+            values = {
+                "priority": account.priority,
+                "quota_rate_per_s": account.rate_per_s,
+                "quota_burst": account.burst,
+            }
+            fields |= {name: {"value": value, "row": row} for name, value in values.items()}
         return fields
 
+    def _configuration_rows(self) -> dict[str, Any]:
+        rollout = self._rollout(Topic.CONFIGURATION)
+        return {
+            ACCOUNT_ROW_PREFIX
+            + name: {
+                "version": self._node.routing.version,
+                "edit": CONFIGURATION_ROW,
+                "value": _account_to_plain(account),
+                **rollout,
+            }
+            for name, account in sorted(self._node.routing.account_by_name.items())
+        }
+
     def _status(self) -> dict[str, Any]:
         node = self._node
         live = node.live_names()
@@ -150,6 +180,17 @@
         return self._node.calls.explanations.find(call_id)
 
     def _edit(self, service: str, plain: Any) -> Reply:
-        if isinstance(plain, dict) and str(plain.get("row", "")).startswith(ROUTE_ROW_PREFIX):
-            raise BadRequest("rows of routes follow the configuration; change that")
+        row = str(plain.get("row", "")) if isinstance(plain, dict) else ""
+        if row.startswith((ROUTE_ROW_PREFIX, ACCOUNT_ROW_PREFIX)):
+            raise BadRequest("rows of routes and accounts follow the configuration; change that")
         return super()._edit(service, plain)
+
+
+def _account_to_plain(account: ClientAccount) -> dict[str, Any]:
+    """Return an account without its keys."""
+    return {
+        "priority": account.priority,
+        "rate_per_s": account.rate_per_s,
+        "burst": account.burst,
+        "keys": len(account.key_digests),
+    }
--- a/tests/test_platform_accounts.py
+++ b/tests/test_platform_accounts.py
@@ -1,5 +1,6 @@
 """Client accounts through real entries, judged from what the endpoints receive."""
 
+import json
 import threading
 import time
 from itertools import count
@@ -124,6 +125,10 @@
 
 
 def test_revoked_key_is_refused_and_added_one_works_within_the_bound(fleet, call):
+    kept = PipeliningCaller(fleet.entries[0].front_port)
+    headers = (("Authorization", f"Bearer {KEY}"),)
+    before = PipelinedRequest("GET", "/safe/x/1", "kept-1", headers=headers)
+    assert kept.call([before])[0][0] == 200
     fleet.configure({"x": "one"}, accounts=[["ada", ["key-of-ada-3"], 0, 0, 0], BO])
     written_s = time.monotonic()
     for entry in range(2):
@@ -136,6 +141,9 @@
                 "the new keys are in force",
             )
             assert time.monotonic() - written_s < REVOCATION_BOUND_S
+    after = PipelinedRequest("GET", "/safe/x/1", "kept-2", headers=headers)
+    assert kept.call([after])[0][0] == 401
+    kept.close()
 
 
 def test_calls_that_wait_or_are_pipelined_are_refused_once_their_key_is_revoked(fleet):
@@ -163,6 +171,40 @@
     assert not received_headers(fleet, "w-1")
 
 
+def test_operators_read_an_account_back_and_limit_it(fleet, call, run_command):
+    def shown(*arguments):
+        done = run_command(fleet, *arguments, "--json")
+        assert done.returncode == 0, done.stderr
+        return json.loads(done.stdout)
+
+    fleet.configure({"x": "one"}, accounts=[["ada", [KEY], 3, 40, 80], BO])
+    wait_until(
+        lambda: shown("effective", "account:ada")["account:ada"]["in_force"] == 2,
+        "the configuration is in force at both entries",
+    )
+    rows = shown("effective")
+    assert rows.keys() == {"account:ada", "account:bo"}
+    row = rows["account:ada"]
+    assert row["value"] == {"priority": 3, "rate_per_s": 40, "burst": 80, "keys": 1}
+    assert (row["version"], row["missing"]) == (fleet.version, [])
+    fields = shown("table", "get", "one", "a", "ada")
+    assert (fields["priority"]["value"], fields["quota_burst"]["value"]) == (3, 80)
+    assert run_command(fleet, "effective", "account:nobody").returncode == 6
+    assert run_command(fleet, "table", "set", "one", "account:ada", "--weight", "1").returncode == 2
+    assert run_command(fleet, "table", "set", "one", "*/ada", "--weight", "0").returncode == 0
+    wait_until(lambda: call(authorization=f"Bearer {KEY}")[0] == 503, "the account is blocked")
+    assert call(authorization="Bearer key-of-bo")[0] == 200
+    _, request, _ = call(authorization=f"Bearer {KEY}")
+
+    def lines():
+        ended = fleet.entries[0].events("call_ended")
+        return [line for line in ended if line["request"] == request]
+
+    wait_until(lines, "the log is written")
+    (line,) = lines()
+    assert (line["account"], line["overall_share"]) == ("ada", 1.0)
+
+
 def test_unknown_key_may_belong_to_an_unreadable_row(fleet, call):
     fleet.configure({"x": "one"}, accounts=[ADA, UNREADABLE])
     wait_until(lambda: call(authorization="Bearer key-of-cy")[0] == 503, "the key may be the row's")
@@ -201,6 +243,8 @@
         assert call("/safe/x/", Authorization=f"Bearer {KEY}") == status
         assert call("/safe/open/") == 200
         assert call("/safe/x/", Authorization="Basic x") == 401
+        refused = [line["refused"] for line in fleet.entries[0].events("keys_refused")]
+        assert refused == ([True] if status == 503 else [])
         fleet.store.state.is_down = False
         wait_until(
             lambda: call("/safe/x/", Authorization=f"Bearer {KEY}") == 200, "the store is back"
--- a/tests/test_platform_operators.py
+++ b/tests/test_platform_operators.py
@@ -83,6 +83,18 @@
     assert history.count(f"*/{ROUTE}") == 2
 
 
+def test_declarations_leave_rows_of_the_configuration_alone(fleet, run_command, tmp_path):
+    # Rows of routes were planned to be removed, which the entries refuse.
+    folder = tmp_path / "declared"
+    folder.mkdir()
+    (folder / "one.yaml").write_text("service: one\ncells:\n  '*/*':\n    weight: 2.0\n")
+    planned = run_command(fleet, "table", "plan", str(folder)).stdout
+    assert "*/*" in planned
+    assert "route:" not in planned
+    done = run_command(fleet, "table", "apply", str(folder))
+    assert done.returncode == 0, done.stderr
+
+
 def test_an_entry_that_starts_later_has_the_table_too(fleet, run_command, call):
     run_command(fleet, "table", "set", "one", f"*/{ROUTE}", "--weight", "0")
     for entry in fleet.entries:
@@ -140,6 +152,7 @@
     [
         ("table", "get", "nowhere"),
         ("table", "set", "one", f"route:{ROUTE}", "--weight", "2"),
+        ("table", "set", "one", "account:ada", "--weight", "2"),
         ("table", "set", "one", "nowhere/*", "--weight", "2"),
         ("table", "set", "one", "*/nobody", "--weight", "2"),
         ("table", "set", "one", "*/*", "--weight", "-1"),
