--- a/packages/cassiahaven-entry/cassiahaven_entry/metrics.py
+++ b/packages/cassiahaven-entry/cassiahaven_entry/metrics.py
@@ -142,6 +142,13 @@
         self.calls_to_cold = self._counter(
             "calls_to_cold", "Calls and probes sent to such endpoints", "service", "kind"
         )
+        self.accounts = self._gauge("accounts", "Client accounts in force")
+        self.accounts_behind = self._gauge(
+            "accounts_behind", "Client accounts that are served far less often than all together"
+        )
+        self.calls_not_sent = self._counter(
+            "calls_not_sent", "Calls whose key was no longer valid when due", "service", "reason"
+        )
         self.rejected_rows = self._gauge(
             "rejected_rows", "Rows of the configuration in force that cannot be used"
         )
