Keep evacuated zones free of calls

Cause: operators empty a zone by storing an object of the kind `evacuations`, which no entry read. Change: a topic of the fleet's store, followed by watchers only and only if the settings have the bound `evacuation`; other entries learn of it like of other topics. Pools leave out the endpoints of evacuated zones, also in the check right before a call is sent and for probes and trials. After the evacuation, calls in flight grow by one for each success. An entry that starts waits up to 2 s for the evacuations before it uses endpoints. An empty list counts as known. EVACUATIONS comes before TABLES in Topic, as a test takes TABLES for the last.

--- a/packages/cassiahaven-cli/cassiahaven_cli/report.py
+++ b/packages/cassiahaven-cli/cassiahaven_cli/report.py
@@ -59,6 +59,8 @@
     ]
     if "configuration" in plain:
         parts.append(_configuration_report(plain["configuration"]))
+    if plain.get("evacuated"):
+        parts.append(f"evacuated availability zones: {', '.join(plain['evacuated'])}")
     for service, item in plain["services"].items():
         parts.append(_service_report(service, item))
     return "\n\n".join(parts)
@@ -80,6 +82,12 @@
     return f"{head}\n{columns(['table', 'row', 'why'], rejected)}" if rejected else head
 
 
+def _reason_text(endpoint: dict[str, Any]) -> str:
+    cold_ms = endpoint.get("cold_ms", 0)
+    reason = endpoint["reason"]
+    return f"{reason}; cold for {cold_ms / 1000:.1f} s more" if cold_ms else reason
+
+
 def _service_report(service: str, item: dict[str, Any]) -> str:
     revisions = " ".join(
         f"{entry}={revision}" for entry, revision in sorted(item["revision_by_entry"].items())
@@ -88,7 +96,7 @@
         [
             name,
             endpoint["status"],
-            endpoint["reason"],
+            _reason_text(endpoint),
             f"{endpoint['in_flight']}/{endpoint['slots']}",
             endpoint["slowness"],
             endpoint["failures"],
--- a/packages/cassiahaven-core/cassiahaven_core/edge.py
+++ b/packages/cassiahaven-core/cassiahaven_core/edge.py
@@ -9,6 +9,7 @@
 from cassiahaven_core.answer_record import AnswerRecord
 from cassiahaven_core.endpoint import CallResult, LoadReport, ProbeFailed
 from cassiahaven_core.endpoint_address import EndpointAddress
+from cassiahaven_core.evacuation import Evacuation
 from cassiahaven_core.membership import Member
 from cassiahaven_core.registry import Registration
 from cassiahaven_core.request_memory import Body
@@ -78,10 +79,11 @@
     CONFIGURATION = "configuration"
     ENDPOINTS = "endpoints"
     MEMBERS = "members"
+    EVACUATIONS = "evacuations"
     TABLES = "tables"
 
 
-FleetItem: TypeAlias = GatewayConfig | Registration | Member | ServiceTable
+FleetItem: TypeAlias = GatewayConfig | Registration | Member | ServiceTable | Evacuation
 
 
 @dataclass(frozen=True, slots=True)
@@ -120,7 +122,7 @@
 
 
 class FleetStore(VersionedStore):
-    """The store of a fleet's configuration, endpoints, members and tables."""
+    """The store of a fleet's configuration, endpoints, members, tables and evacuations."""
 
     @abstractmethod
     def read(self, topic: Topic) -> FleetChanges:
--- a/packages/cassiahaven-core/cassiahaven_core/fleet_state.py
+++ b/packages/cassiahaven-core/cassiahaven_core/fleet_state.py
@@ -6,6 +6,7 @@
 from typing import Any, TypeAlias
 
 from cassiahaven_core.account import ClientAccount
+from cassiahaven_core.evacuation import Evacuation
 from cassiahaven_core.membership import Member
 from cassiahaven_core.registry import Registration
 from cassiahaven_core.route import (
@@ -22,7 +23,7 @@
 
 KEPT_CHANGES = 512  # two changes for each endpoint of the largest planned service
 
-Item: TypeAlias = Registration | Member | ServiceTable
+Item: TypeAlias = Registration | Member | ServiceTable | Evacuation
 
 
 class TopicState:
--- a/packages/cassiahaven-core/cassiahaven_core/pool.py
+++ b/packages/cassiahaven-core/cassiahaven_core/pool.py
@@ -69,6 +69,7 @@
         "_rate_share",
         "_cold_per_s",
         "_cold_share",
+        "_evacuated",
         "_delisted_gates",
     )
 
@@ -86,6 +87,7 @@
         self._rate_share = RateShare()
         self._cold_per_s = 0.0
         self._cold_share = ColdShare()
+        self._evacuated: frozenset[str] = frozenset()
         self._delisted_gates: dict[tuple[str, str], EndpointGate] = {}
 
     def set_endpoints(
@@ -148,6 +150,20 @@
             if limit is not None:
                 limit.change(limit.limit_per_s, share, now_ms)
 
+    def set_evacuated(self, zones: frozenset[str], now_ms: float) -> None:
+        """Set the availability zones whose endpoints get no calls; calls in flight finish."""
+        if zones == self._evacuated:
+            return
+        returned = self._evacuated - zones
+        self._evacuated = zones
+        for endpoint in self.endpoint_by_id.values():
+            if endpoint.address.availability_zone in returned:
+                # All entries return at about the same time, and the endpoints may be cold.
+                endpoint.gate.reopen(now_ms)
+                endpoint.probe_tokens = 0.0
+                endpoint.probe_refilled_ms = now_ms
+        self._index()
+
     def set_cold_limit(self, cold_per_s: float, now_ms: float) -> None:
         """Set the calls a second that a cold endpoint bears, 0 for no limit."""
         if cold_per_s == self._cold_per_s:
@@ -239,7 +255,7 @@
         endpoint = self.endpoint_by_id.get(address.endpoint)
         if endpoint is None or endpoint.address.incarnation != address.incarnation:
             return False
-        if endpoint.gate.closed_for_ms(now_ms):
+        if endpoint.gate.closed_for_ms(now_ms) or self._is_evacuated(endpoint):
             return False
         return endpoint.is_serving or endpoint.status is EndpointStatus.TRIAL
 
@@ -547,6 +563,8 @@
         endpoint = self.endpoint_by_id.get(name)
         if endpoint is None or now_ms - endpoint.reported_at_ms < FRESH_REPORT_MS:
             return False
+        if self._is_evacuated(endpoint):
+            return False
         if endpoint.gate.rate_limit is not None or endpoint.gate.closed_for_ms(now_ms):
             # A probe is a request too, and the endpoint asks for fewer or none.
             return False
@@ -584,6 +602,9 @@
         self.start(endpoint, call_id, started.partner, now_ms)
         return None
 
+    def _is_evacuated(self, endpoint: Endpoint) -> bool:
+        return endpoint.address.availability_zone in self._evacuated
+
     def _give_back(self, endpoint: Endpoint, started: InFlightCall) -> None:
         endpoint.gate.give_back(
             started.at_ms, is_rate_limited=started.is_rate_limited, is_cold=started.is_cold
@@ -696,7 +717,7 @@
 
     def _is_trial_due(self, endpoint: Endpoint, now_ms: float) -> bool:
         is_ejected = endpoint.status is EndpointStatus.EJECTED
-        if not is_ejected or now_ms < endpoint.ejected_until_ms:
+        if not is_ejected or now_ms < endpoint.ejected_until_ms or self._is_evacuated(endpoint):
             return False
         return endpoint.gate.opens_in_ms(now_ms) == 0
 
@@ -717,7 +738,11 @@
             del kept[next(iter(kept))]
 
     def _index(self) -> None:
-        self._serving = [item for item in self.endpoint_by_id.values() if item.is_serving]
+        self._serving = [
+            item
+            for item in self.endpoint_by_id.values()
+            if item.is_serving and not self._is_evacuated(item)
+        ]
         for endpoint in self._serving:
             endpoint.gate.limit = self._share.slots(endpoint.address)
             endpoint.tie_break = self._tie_break()
--- a/packages/cassiahaven-core/tests/test_cold_start.py
+++ b/packages/cassiahaven-core/tests/test_cold_start.py
@@ -366,3 +366,49 @@
     pool.set_rate_share(RateShare("a", size_by_zone={"a": 1}), 0.0)
     pool.apply_rate_limit("e0", "none", 0.5, 0.0)
     assert pool.serving_rate_per_s() == 0.5
+
+
+def two_zone_policy():
+    pool = Pool(rng=random.Random(1))
+    zones = {"a1": "a", "a2": "a", "b1": "b"}
+    pool.set_endpoints(
+        [make_address(name, zone=zone, cold_ends_ms=0.0) for name, zone in zones.items()], 0.0
+    )
+    return make_policy(pool)
+
+
+def test_evacuated_zone_gets_no_assigned_call_and_waiting_calls_go_elsewhere():
+    # Guards against calls that reach an evacuated zone since they were assigned before.
+    policy = two_zone_policy()
+    [in_a] = submit(policy, 0, 0.0)
+    assert in_a.address.availability_zone == "a"
+    policy.pool.set_evacuated(frozenset({"a"}), 1.0)
+    assert not policy.pool.may_send(in_a.address, 1.0)
+    call = WaitingCall(in_a.call_id, "p", True, 2000.0, 0.0)
+    placed = policy.place_again(call, in_a.address.endpoint, frozenset(), 1.0)
+    assert [effect.address.endpoint for effect in placed] == ["b1"]
+    assert submit(policy, 1, 2.0) == []  # waits for a slot of the other zone
+    policy.pool.set_evacuated(frozenset({"a", "b"}), 3.0)
+    assert not policy.pool.has_serving_endpoint()
+
+
+def test_ejected_endpoint_of_an_evacuated_zone_gets_no_trial():
+    pool = two_zone_policy().pool
+    pool.handle("a1", EndpointEvent.FAILING, "failed", 0.0)
+    pool.set_evacuated(frozenset({"a"}), 1.0)
+    assert pool.start_probe_trial(60_000.0) is None
+    assert not pool.has_due_trial(60_000.0)
+    assert not pool.try_spend_probe("a2", rate_per_s=15.0, now_ms=60_000.0)
+    pool.set_evacuated(frozenset(), 60_000.0)
+    assert pool.has_due_trial(60_000.0)
+
+
+def test_zone_returns_from_an_evacuation_step_by_step():
+    # Guards against a burst on endpoints that may be cold, from all entries at once.
+    policy = two_zone_policy()
+    policy.pool.set_evacuated(frozenset({"a"}), 0.0)
+    policy.pool.set_evacuated(frozenset(), 10.0)
+    for number in range(10):
+        submit(policy, number, 20.0)
+    in_flight = {name: item.in_flight for name, item in policy.pool.endpoint_by_id.items()}
+    assert in_flight == {"a1": 1, "a2": 1, "b1": 1}
--- a/packages/cassiahaven-entry/cassiahaven_entry/fleet_links.py
+++ b/packages/cassiahaven-entry/cassiahaven_entry/fleet_links.py
@@ -203,7 +203,7 @@
         own = self._state.versions()
         prefers_another = not self.is_near and self._has_near_link()
         for topic, version in self._version_by_topic.items():
-            if version > own[topic] and self._request_pacer.is_due(
+            if version > own.get(topic, version) and self._request_pacer.is_due(
                 topic, prefers_another=prefers_another, now_ms=now_ms()
             ):
                 self.send(StateRequest(topic, own[topic]))
--- a/packages/cassiahaven-entry/cassiahaven_entry/fleet_view.py
+++ b/packages/cassiahaven-entry/cassiahaven_entry/fleet_view.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable, Collection
 
 from cassiahaven_core.edge import FleetChanges, Topic
+from cassiahaven_core.evacuation import Evacuation
 from cassiahaven_core.fleet_state import (
     Item,
     TopicState,
@@ -23,6 +24,7 @@
     Topic.ENDPOINTS.value: Registration,
     Topic.MEMBERS.value: Member,
     Topic.TABLES.value: ServiceTable,
+    Topic.EVACUATIONS.value: Evacuation,
 }
 FROM_STORE = "store"
 FROM_PEER = "peer"
@@ -31,7 +33,7 @@
 
 
 class FleetView:
-    """Replicate configuration, endpoints, members and tables, and report changes.
+    """Replicate configuration, endpoints, members, tables and evacuations, and report changes.
 
     Args:
         fleet: Members and their liveness.
@@ -40,6 +42,8 @@
         on_endpoints: Called when endpoints changed.
         on_members: Called when members changed.
         on_table: Called with each changed table and the source of the change.
+        on_evacuations: Called with the evacuated zones when they become known and when they change,
+            ``None`` if evacuations are not followed.
     """
 
     def __init__(
@@ -51,6 +55,7 @@
         on_endpoints: Callable[[Collection[Registration]], None],
         on_members: Callable[[], None],
         on_table: Callable[[ServiceTable, str], None],
+        on_evacuations: Callable[[frozenset[str]], None] | None = None,
     ) -> None:
         self.registry = EndpointRegistry()
         self._fleet = fleet
@@ -58,11 +63,15 @@
         self._endpoints = TopicState()
         self._members = TopicState()
         self._tables = TopicState()
+        self._evacuations = TopicState()
         self._state_by_topic = {
             Topic.ENDPOINTS.value: self._endpoints,
             Topic.MEMBERS.value: self._members,
             Topic.TABLES.value: self._tables,
         }
+        if on_evacuations is not None:
+            self._state_by_topic[Topic.EVACUATIONS.value] = self._evacuations
+        self._on_evacuations = on_evacuations
         self._on_config = on_config
         self._on_endpoints = on_endpoints
         self._on_members = on_members
@@ -79,13 +88,21 @@
         """Return whether the member list has been received."""
         return bool(self._members.revision)
 
+    @property
+    def has_evacuations(self) -> bool:
+        """Return whether it is known which zones are evacuated, even if none is."""
+        return bool(self._evacuations.revision)
+
+    @property
+    def evacuated_zones(self) -> frozenset[str]:
+        """Return the zones that are evacuated."""
+        return frozenset(self._evacuations.item_by_name)
+
     def versions(self) -> dict[str, int]:
         """Return the local version of each topic, by topic name."""
         return {
             Topic.CONFIGURATION.value: self._routing.version,
-            Topic.ENDPOINTS.value: self._endpoints.revision,
-            Topic.MEMBERS.value: self._members.revision,
-            Topic.TABLES.value: self._tables.revision,
+            **{topic: state.revision for topic, state in self._state_by_topic.items()},
         }
 
     def state_update(self, request: StateRequest) -> StateNews:
@@ -123,6 +140,11 @@
                 items, state_update.revision, FROM_PEER, is_whole=state_update.is_whole
             )
             return
+        if state_update.topic == Topic.EVACUATIONS.value:
+            self._apply_evacuations(
+                items, state_update.revision, FROM_PEER, is_whole=state_update.is_whole
+            )
+            return
         self._apply_endpoints(
             items, state_update.revision, FROM_PEER, peer, is_whole=state_update.is_whole
         )
@@ -141,6 +163,9 @@
         if topic is Topic.TABLES:
             self._apply_tables(items, changes.revision, FROM_STORE, is_whole=changes.is_whole)
             return
+        if topic is Topic.EVACUATIONS:
+            self._apply_evacuations(items, changes.revision, FROM_STORE, is_whole=changes.is_whole)
+            return
         self._apply_endpoints(items, changes.revision, FROM_STORE, is_whole=changes.is_whole)
 
     def expire(self) -> None:
@@ -190,6 +215,19 @@
             if table is not None:
                 self._on_table(table, source)
 
+    def _apply_evacuations(
+        self, items: dict[str, Evacuation | None], revision: int, source: str, *, is_whole: bool
+    ) -> None:
+        before, was_known = self.evacuated_zones, self.has_evacuations
+        _update(self._evacuations, items, revision, is_whole=is_whole)
+        after = self.evacuated_zones
+        for zone in sorted(after - before):
+            log(LogEvent.EVACUATION_BEGUN, zone=zone, revision=revision, source=source)
+        for zone in sorted(before - after):
+            log(LogEvent.EVACUATION_ENDED, zone=zone, revision=revision, source=source)
+        if self._on_evacuations is not None and (after != before or not was_known):
+            self._on_evacuations(after)
+
     def _apply_endpoints(
         self,
         items: dict[str, Registration | None],
--- a/packages/cassiahaven-entry/cassiahaven_entry/operator_api_base.py
+++ b/packages/cassiahaven-entry/cassiahaven_entry/operator_api_base.py
@@ -11,6 +11,7 @@
 from cassiahaven_core.pool import Pool
 from cassiahaven_core.table_codec import table_to_plain
 from cassiahaven_entry.caller_dialect import Environ
+from cassiahaven_entry.clock import now_ms
 from cassiahaven_entry.event import LogEvent, log
 from cassiahaven_entry.metrics import Metrics
 from cassiahaven_entry.tables import Tables
@@ -50,6 +51,7 @@
 
 def endpoints_to_plain(pool: Pool) -> dict[str, dict[str, Any]]:
     """Return the endpoints of a service with their status and its reason, by name."""
+    cold_ms = pool.cold_left_ms_by_name(now_ms())
     return {
         name: {
             "status": endpoint.status.value,
@@ -60,6 +62,7 @@
             "slowness": round(endpoint.slowness, 2),
             "failures": endpoint.consecutive_failures,
             "availability_zone": endpoint.address.availability_zone,
+            "cold_ms": round(cold_ms.get(name, 0)),
         }
         for name, endpoint in sorted(pool.endpoint_by_id.items())
     }
--- a/packages/cassiahaven-entry/cassiahaven_entry/routed_node.py
+++ b/packages/cassiahaven-entry/cassiahaven_entry/routed_node.py
@@ -60,6 +60,9 @@
 RETRY_SHARE_USED = 0.8  # the bound is checked over windows that end between our buckets
 PROBE_SHARE = 0.25  # of the probes an endpoint may get: other zones' serving entries probe it too
 CRASH_CONFIRMATION_MS = 300.0  # a live endpoint has responded by then
+# An entry that starts learns the evacuations together with the endpoints. Where they stay unknown
+# for longer, nobody knows them, and all zones are used.
+EVACUATIONS_PATIENCE_MS = 2000.0
 PEER_KEY = "fleet"  # entries connect over a network that nothing else can reach
 
 
@@ -90,6 +93,8 @@
         self._cold_share = ColdShare({}, 0.0)
         self._serving_inputs: tuple[object, ...] = ()
         self._started_ms = now_ms()
+        self._endpoints_known_ms: float | None = None
+        self._follows_evacuations = settings.evacuation_ms is not None
         self.process = f"{settings.name}-{secrets.token_hex(PROCESS_NAME_BYTES)}"
         self.member = Member(
             settings.name,
@@ -106,7 +111,9 @@
     @property
     def is_ready(self) -> bool:
         """Return whether this entry is ready for callers."""
-        return not self.is_draining and bool(self.routing.version) and self.view.has_endpoints
+        if self.is_draining or self._awaits_evacuations():
+            return False
+        return bool(self.routing.version) and self.view.has_endpoints
 
     def _build_fleet(self) -> None:
         self.fleet = Fleet(self.member)
@@ -118,6 +125,7 @@
             on_endpoints=self._on_endpoints,
             on_members=self._on_members,
             on_table=self._apply_table,
+            on_evacuations=self._on_evacuations if self._follows_evacuations else None,
         )
         self.metrics.rate_limited_endpoints.set_function(
             lambda: sum(
@@ -208,7 +216,7 @@
     def task(self, service: str) -> ServiceTask:
         """Return the task of ``service``, with up-to-date endpoints."""
         task = self._get_or_create_task(service)
-        if service in self._outdated_services:
+        if service in self._outdated_services and not self._awaits_evacuations():
             self._set_endpoints(service, task)
         return task
 
@@ -227,6 +235,7 @@
             task.policy.retry_budget.limits = self._retry_limits()
             task.policy.probes_per_s = self.settings.probes_per_s * PROBE_SHARE
             task.set_cold_share(self._cold_share)
+            task.set_evacuated(self.view.evacuated_zones)
             self._outdated_services.add(service)
             task.set_table(self.tables.table_by_service[service])
         return task
@@ -243,7 +252,10 @@
             "ticks": self._tick_services,
             "callers": lambda: self.frontend.serve(self.calls.run),
         }
-        runs |= {f"store {topic.value}": lambda t=topic: self.feed.follow(t) for topic in Topic}
+        topics = set(Topic)
+        if not self._follows_evacuations:
+            topics.discard(Topic.EVACUATIONS)
+        runs |= {f"store {topic.value}": lambda t=topic: self.feed.follow(t) for topic in topics}
         runs |= {f"auxiliary server {n}": item.run for n, item in enumerate(self.auxiliary_servers)}
         return [spawn_supervised(name, run) for name, run in runs.items()]
 
@@ -352,6 +364,8 @@
 
     def _on_endpoints(self, registrations: Collection[Registration]) -> None:
         self._cold_listings.observe(registrations, now_ms(), time.time() * MS_PER_S)
+        if self._endpoints_known_ms is None:
+            self._endpoints_known_ms = now_ms()
         before = self._registrations_by_service
         self._registrations_by_service = {}
         for item in registrations:
@@ -361,11 +375,23 @@
                 continue
             # Most entries carry no callers: defer the update until the task is next used.
             self._outdated_services.add(service)
-            if not task.policy.admission.is_idle:
+            if not task.policy.admission.is_idle and not self._awaits_evacuations():
                 self._set_endpoints(service, task)
         self.transport.forget({(item.endpoint, item.incarnation) for item in registrations})
         self.links.publish_report()
 
+    def _on_evacuations(self, zones: frozenset[str]) -> None:
+        for task in self._task_by_service.values():
+            task.set_evacuated(zones)
+        self.links.publish_report()
+
+    def _awaits_evacuations(self) -> bool:
+        """Return whether calls must not be sent yet, as it is not known which zones get none."""
+        if not self._follows_evacuations or self.view.has_evacuations:
+            return False
+        known_ms = self._endpoints_known_ms
+        return known_ms is None or now_ms() - known_ms < EVACUATIONS_PATIENCE_MS
+
     def _on_members(self) -> None:
         for task in self._task_by_service.values():
             task.policy.retry_budget.limits = self._retry_limits()
--- a/packages/cassiahaven-entry/cassiahaven_entry/routed_operators.py
+++ b/packages/cassiahaven-entry/cassiahaven_entry/routed_operators.py
@@ -119,6 +119,7 @@
             "entries": sorted(entries, key=lambda item: item["name"]),
             "unreachable": sorted(node.fleet.member_by_name.keys() - live),
             "configuration": self._configuration_status(),
+            "evacuated": sorted(node.view.evacuated_zones),
             "services": {
                 name: self._service_status(name) for name in sorted(node.tables.table_by_service)
             },
--- a/packages/cassiahaven-entry/cassiahaven_entry/service_task.py
+++ b/packages/cassiahaven-entry/cassiahaven_entry/service_task.py
@@ -132,6 +132,11 @@
         share = self._share_history.update(zone_by_name, live, now_ms())
         self.policy.pool.set_rate_share(share, now_ms())
 
+    def set_evacuated(self, zones: frozenset[str]) -> None:
+        """Set the availability zones that get no calls, and send waiting calls elsewhere."""
+        self.policy.pool.set_evacuated(zones, now_ms())
+        self.tick()
+
     def set_cold_share(self, share: ColdShare) -> None:
         """Set this entry's share of the calls to cold endpoints, and log which of them are."""
         pool = self.policy.pool
--- a/packages/cassiahaven-entry/cassiahaven_entry/store_feed.py
+++ b/packages/cassiahaven-entry/cassiahaven_entry/store_feed.py
@@ -21,10 +21,11 @@
 
 # The answer to a watch may be lost while the store answers everything else, so only the end of the
 # wait bounds how long its changes stay unknown. Changes of these topics take effect within 2 s, and
-# 3 s after a disturbance at the latest; each return of a watch costs a store call.
+# 3 s after a disturbance at the latest (evacuations: 5 s); each return of a watch costs a store
+# call.
 PROMPT_WATCH_WAIT_MS = 1500
 WATCH_WAIT_MS = 5000  # members are also known from their links, and tables have no time limit
-PROMPT_TOPICS = frozenset({Topic.CONFIGURATION, Topic.ENDPOINTS})
+PROMPT_TOPICS = frozenset({Topic.CONFIGURATION, Topic.ENDPOINTS, Topic.EVACUATIONS})
 STORE_CHECK_INTERVAL_MS = 500.0  # with the 500 ms report interval below the age subscribers accept
 COALESCE_MS = 100.0  # coalesces bursts of changes; each return of a watch costs a store call
 IDLE_INTERVAL_MS = 100.0
--- a/packages/cassiahaven-entry/tests/test_fleet_view.py
+++ b/packages/cassiahaven-entry/tests/test_fleet_view.py
@@ -5,6 +5,7 @@
 from hypothesis import strategies as st
 
 from cassiahaven_core.edge import FleetChange, FleetChanges, Topic
+from cassiahaven_core.evacuation import Evacuation
 from cassiahaven_core.membership import Fleet, Member
 from cassiahaven_core.peer_message import StateNews, StateRequest
 from cassiahaven_core.registry import Registration
@@ -130,3 +131,45 @@
             told = view.state_update(StateRequest(ENDPOINTS, 0))
             assert told.is_whole
             assert told.plain_by_name.keys() == listed_by_revision[told.revision]
+
+
+EVACUATIONS = Topic.EVACUATIONS.value
+
+
+@pytest.fixture
+def make_evacuation_view(clock):
+    def make(name):
+        told = []
+        view = FleetView(
+            Fleet(Member(name, f"{name}-1", name[0], f"{name}:1", f"{name}:2")),
+            RoutingTable(),
+            on_config=lambda config: None,
+            on_endpoints=lambda registrations: None,
+            on_members=lambda: None,
+            on_table=lambda table, source: None,
+            on_evacuations=told.append,
+        )
+        return view, told
+
+    return make
+
+
+def test_evacuations_reach_followers_through_a_watcher(make_evacuation_view):
+    # Guards against entries that take an empty list for an unknown one and ask for it forever.
+    (watcher, _), (follower, told) = make_evacuation_view("a1"), make_evacuation_view("a2")
+    watcher.apply_changes(Topic.EVACUATIONS, FleetChanges(5, [], True))
+    assert watcher.has_evacuations and not follower.has_evacuations
+    follower.apply_update(watcher.state_update(StateRequest(EVACUATIONS, 0)), "a1")
+    assert follower.versions()[EVACUATIONS] == 5
+    begun = FleetChanges(6, [FleetChange("b", Evacuation("b"))], False)
+    watcher.apply_changes(Topic.EVACUATIONS, begun)
+    follower.apply_update(watcher.state_update(StateRequest(EVACUATIONS, 5)), "a1")
+    watcher.apply_changes(Topic.EVACUATIONS, removal("b", 7))
+    follower.apply_update(watcher.state_update(StateRequest(EVACUATIONS, 6)), "a1")
+    assert told == [frozenset(), frozenset({"b"}), frozenset()]
+
+
+def test_deployments_without_evacuations_do_not_mention_the_topic(make_view):
+    # Guards against requests between entries for a topic that one of them does not follow.
+    view, _ = make_view("a1")
+    assert EVACUATIONS not in view.versions()
--- a/packages/cassiahaven-standins/cassiahaven_standins/platform_endpoint.py
+++ b/packages/cassiahaven-standins/cassiahaven_standins/platform_endpoint.py
@@ -53,6 +53,7 @@
         rate_limits: Time and value of each rate limit that it named, empty for its end.
         limited_responses: Time and request id of each response that named a rate limit.
         is_leaving: Whether its responses say that it leaves.
+        cold_until_s: Until when its responses say that it is cold.
         retry_after: Value of ``Retry-After`` with which it rejects requests, then health checks
             too, empty for none.
         closing_responses: Time, request id and value of each 503 response with ``Retry-After``, an
@@ -79,6 +80,7 @@
         self.rate_limits: list[tuple[float, str]] = []
         self.limited_responses: list[tuple[float, str]] = []
         self.is_leaving = False
+        self.cold_until_s = float("-inf")
         self.retry_after = ""
         self.closing_responses: list[tuple[float, str, str]] = []
         self.health_checks_s: list[float] = []
@@ -245,6 +247,9 @@
 
     def _notices(self) -> dict[str, str]:
         notices = {"Server-Limit": self.state.rate_limit} if self.state.rate_limit else {}
+        left_s = self.state.cold_until_s - time.monotonic()
+        if left_s > 0:
+            notices["Cold-Remaining-Ms"] = str(round(left_s * 1000))
         return notices | ({"Server-Leaving": "1"} if self.state.is_leaving else {})
 
     def _record_notices(self, headers: dict[str, str]) -> None:
--- a/packages/cassiahaven-standins/cassiahaven_standins/platform_fleet.py
+++ b/packages/cassiahaven-standins/cassiahaven_standins/platform_fleet.py
@@ -6,7 +6,7 @@
 import signal
 import subprocess
 import sys
-from collections.abc import Iterator
+from collections.abc import Iterator, Sequence
 from contextlib import contextmanager
 from pathlib import Path
 from typing import Any
@@ -33,8 +33,10 @@
         *,
         grace_ms: int = GRACE_MS,
         python: str = sys.executable,
+        bounds: Sequence[str] = (),
     ) -> None:
         self.name = name
+        self._bounds = bounds
         self.zone = zone
         self._grace_ms = grace_ms
         self._python = python
@@ -66,6 +68,7 @@
                 "budgetWindow=10s",
                 "budgetSlack=60",
                 "probesPerS=60",
+                *self._bounds,
             ],
             "platform": {"address": store},
         }
@@ -135,6 +138,7 @@
         has_proxies: Whether each entry reaches the store through a proxy.
         has_peer_proxies: Whether the other entries reach each entry through a proxy.
         python: Interpreter of the entries.
+        bounds: Further bounds in the entries' settings.
     """
 
     def __init__(
@@ -146,6 +150,7 @@
         has_peer_proxies: bool = False,
         grace_ms: int = GRACE_MS,
         python: str = sys.executable,
+        bounds: Sequence[str] = (),
     ) -> None:
         self.store = PlatformStore()
         host, _, port = self.store.address.partition(":")
@@ -160,6 +165,7 @@
                 folder,
                 grace_ms=grace_ms,
                 python=python,
+                bounds=bounds,
             )
             for n in range(entries)
         ]
@@ -186,6 +192,10 @@
         self.store.state.put("servers", name, endpoint.registration())
         return endpoint
 
+    def evacuate(self, zone: str) -> None:
+        """Store the evacuation of a zone."""
+        self.store.state.put("evacuations", zone, {})
+
     def drain(self, name: str) -> None:
         """Register an endpoint as draining."""
         registration = self.endpoint_by_name[name].registration("draining")
@@ -198,6 +208,8 @@
         timeout_ms: int = 2000,
         target_ms: int = 300,
         largest_body_bytes: int = 1_000_000,
+        cold_start_ms: int = 0,
+        cold_per_s: float = 0.0,
     ) -> int:
         """Store a configuration with a route of each kind for each prefix."""
         self.version += 3
@@ -225,8 +237,14 @@
             "version": self.version,
             "routes": {"columns": columns, "rows": rows},
             "services": {
-                "columns": ["name", "healthPath", "maxConnections", "protocol", "tls"],
-                "rows": [[name, "/health", 240, "h1", False] for name in services],
+                "columns": [
+                    *("name", "healthPath", "maxConnections", "protocol", "tls"),
+                    *("coldStart", "coldPerS"),
+                ],
+                "rows": [
+                    [name, "/health", 240, "h1", False, f"{cold_start_ms}ms", cold_per_s]
+                    for name in services
+                ],
             },
             "limits": {
                 "maxHeaderBytes": 16384,
