--- a/packages/cassiahaven-entry/cassiahaven_entry/fleet_view.py
+++ b/packages/cassiahaven-entry/cassiahaven_entry/fleet_view.py
@@ -6,6 +6,7 @@
 
 from cassiahaven_core.config_change import apply_config_change, config_change, config_digest
 from cassiahaven_core.edge import FleetChanges, Topic
+from cassiahaven_core.evacuation import Evacuation
 from cassiahaven_core.fleet_state import (
     Item,
     TopicState,
@@ -26,6 +27,7 @@
     Topic.ENDPOINTS.value: Registration,
     Topic.MEMBERS.value: Member,
     Topic.TABLES.value: ServiceTable,
+    Topic.EVACUATIONS.value: Evacuation,
 }
 FROM_STORE = "store"
 FROM_PEER = "peer"
@@ -36,7 +38,7 @@
 
 
 class FleetView:
-    """Replicate configuration, endpoints, members and tables, and report changes.
+    """Replicate configuration, endpoints, members, tables and evacuations, and report changes.
 
     Args:
         fleet: Members and their liveness.
@@ -45,6 +47,8 @@
         on_endpoints: Called when endpoints changed.
         on_members: Called when members changed.
         on_table: Called with each changed table and the source of the change.
+        on_evacuations: Called with the evacuated zones when they become known and when they change,
+            ``None`` if evacuations are not followed.
     """
 
     def __init__(
@@ -56,6 +60,7 @@
         on_endpoints: Callable[[Collection[Registration]], None],
         on_members: Callable[[], None],
         on_table: Callable[[ServiceTable, str], None],
+        on_evacuations: Callable[[frozenset[str]], None] | None = None,
     ) -> None:
         self.registry = EndpointRegistry()
         self._fleet = fleet
@@ -63,6 +68,7 @@
         self._endpoints = TopicState()
         self._members = TopicState()
         self._tables = TopicState()
+        self._evacuations = TopicState()
         self._state_by_topic = {
             Topic.ENDPOINTS.value: self._endpoints,
             Topic.MEMBERS.value: self._members,
@@ -70,6 +76,9 @@
         }
         self._config_by_version: dict[int, bytes] = {}
         self._needs_whole_config = False
+        if on_evacuations is not None:
+            self._state_by_topic[Topic.EVACUATIONS.value] = self._evacuations
+        self._on_evacuations = on_evacuations
         self._on_config = on_config
         self._on_endpoints = on_endpoints
         self._on_members = on_members
@@ -86,13 +95,21 @@
         """Return whether the member list has been received."""
         return bool(self._members.revision)
 
+    @property
+    def has_evacuations(self) -> bool:
+        """Return whether it is known which zones are evacuated, even if none is."""
+        return bool(self._evacuations.revision)
+
+    @property
+    def evacuated_zones(self) -> frozenset[str]:
+        """Return the zones that are evacuated."""
+        return frozenset(self._evacuations.item_by_name)
+
     def versions(self) -> dict[str, int]:
         """Return the local version of each topic, by topic name."""
         return {
             Topic.CONFIGURATION.value: self._routing.version,
-            Topic.ENDPOINTS.value: self._endpoints.revision,
-            Topic.MEMBERS.value: self._members.revision,
-            Topic.TABLES.value: self._tables.revision,
+            **{topic: state.revision for topic, state in self._state_by_topic.items()},
         }
 
     def state_request(self, topic: str) -> StateRequest:
@@ -230,6 +247,19 @@
         while len(self._config_by_version) > KEPT_CONFIGURATIONS:
             del self._config_by_version[min(self._config_by_version)]
 
+    def _apply_evacuations(
+        self, items: dict[str, Evacuation | None], revision: int, source: str, *, is_whole: bool
+    ) -> None:
+        before, was_known = self.evacuated_zones, self.has_evacuations
+        _update(self._evacuations, items, revision, is_whole=is_whole)
+        after = self.evacuated_zones
+        for zone in sorted(after - before):
+            log(LogEvent.EVACUATION_BEGUN, zone=zone, revision=revision, source=source)
+        for zone in sorted(before - after):
+            log(LogEvent.EVACUATION_ENDED, zone=zone, revision=revision, source=source)
+        if self._on_evacuations is not None and (after != before or not was_known):
+            self._on_evacuations(after)
+
     def _apply(
         self,
         topic: Topic,
@@ -241,6 +271,9 @@
         is_whole: bool,
     ) -> None:
         # Pass the store's items on unchanged; each entry decides which endpoints stay in use.
+        if topic is Topic.EVACUATIONS:
+            self._apply_evacuations(items, revision, source, is_whole=is_whole)
+            return
         state = self._state_by_topic[topic.value]
         if not _update(state, items, revision, is_whole=is_whole):
             return
--- a/packages/cassiahaven-standins/cassiahaven_standins/platform_fleet.py
+++ b/packages/cassiahaven-standins/cassiahaven_standins/platform_fleet.py
@@ -6,7 +6,7 @@
 import signal
 import subprocess
 import sys
-from collections.abc import Iterator
+from collections.abc import Iterator, Sequence
 from contextlib import contextmanager
 from pathlib import Path
 from typing import Any
@@ -34,13 +34,13 @@
         *,
         grace_ms: int = GRACE_MS,
         python: str = sys.executable,
-        bounds: tuple[str, ...] = (),
+        bounds: Sequence[str] = (),
     ) -> None:
         self.name = name
+        self._bounds = bounds
         self.zone = zone
         self._grace_ms = grace_ms
         self._python = python
-        self._bounds = bounds
         self._path = folder / f"{name}.json"
         self.log_path = folder / f"{name}.log"
         front, ready, directory, peers, self.metrics_port = (free_port() for _ in range(5))
@@ -151,7 +151,7 @@
         has_peer_proxies: bool = False,
         grace_ms: int = GRACE_MS,
         python: str = sys.executable,
-        bounds: tuple[str, ...] = (),
+        bounds: Sequence[str] = (),
     ) -> None:
         self.store = PlatformStore()
         host, _, port = self.store.address.partition(":")
@@ -193,6 +193,10 @@
         self.store.state.put("servers", name, endpoint.registration())
         return endpoint
 
+    def evacuate(self, zone: str) -> None:
+        """Store the evacuation of a zone."""
+        self.store.state.put("evacuations", zone, {})
+
     def drain(self, name: str) -> None:
         """Register an endpoint as draining."""
         registration = self.endpoint_by_name[name].registration("draining")
@@ -207,6 +211,8 @@
         largest_body_bytes: int = 1_000_000,
         accounts: list[list[Any]] | None = None,
         anonymous: frozenset[str] = frozenset(),
+        cold_start_ms: int = 0,
+        cold_per_s: float = 0.0,
     ) -> int:
         """Store a configuration with a route of each kind for each prefix.
 
@@ -217,6 +223,8 @@
             largest_body_bytes: Largest body that callers may send.
             accounts: Rows of the table of client accounts, ``None`` for no such table.
             anonymous: Prefixes whose routes need no key.
+            cold_start_ms: Time for which endpoints are cold after their start.
+            cold_per_s: Calls a second that a cold endpoint bears, 0 for no limit.
         """
         self.version += 3
         columns = [
@@ -245,8 +253,14 @@
             "version": self.version,
             "routes": {"columns": columns, "rows": rows},
             "services": {
-                "columns": ["name", "healthPath", "maxConnections", "protocol", "tls"],
-                "rows": [[name, "/health", 240, "h1", False] for name in services],
+                "columns": [
+                    *("name", "healthPath", "maxConnections", "protocol", "tls"),
+                    *("coldStart", "coldPerS"),
+                ],
+                "rows": [
+                    [name, "/health", 240, "h1", False, f"{cold_start_ms}ms", cold_per_s]
+                    for name in services
+                ],
             },
             "limits": {
                 "maxHeaderBytes": 16384,
