Enforce usage caps of client accounts over all entries

Cause: an account's quota (ratePerS, burst) was decoded but not enforced.

Change: `UsageCaps` decides on each call from the claims that the entries exchange over their watchers (messages UsageClaims, UsageJoined, UsageNews). An entry admits a share of what is left of the window's quota. Its calls count against this share until all other entries with claims confirm that they know of them.

--- a/packages/cassiahaven-core/cassiahaven_core/outcome.py
+++ b/packages/cassiahaven-core/cassiahaven_core/outcome.py
@@ -54,6 +54,7 @@
     RefusalReason.BODY_INCOMPLETE: 400,
     RefusalReason.DEADLINE_EXCEEDED: 504,
     RefusalReason.RATE_LIMITED: 429,
+    RefusalReason.USAGE_CAPPED: 429,
     RefusalReason.PARTNER_BLOCKED: 403,
     RefusalReason.KEY_REUSED: 422,
     RefusalReason.INTERNAL: 500,
--- a/packages/cassiahaven-core/cassiahaven_core/peer_message.py
+++ b/packages/cassiahaven-core/cassiahaven_core/peer_message.py
@@ -13,6 +13,7 @@
 from cassiahaven_core.steering import EntryAddress
 from cassiahaven_core.table import Row
 from cassiahaven_core.table_codec import row_from_plain, row_to_plain
+from cassiahaven_core.usage_cap import Claim, Claims
 
 DIGEST_BYTES = 8
 
@@ -109,6 +110,38 @@
     notices: list[RateLimitNotice]
 
 
+@dataclass(frozen=True, slots=True)
+class UsageClaims:
+    """Claims of one or more processes on the usage caps of client accounts."""
+
+    claims: list[Claims]
+
+
+@dataclass(frozen=True, slots=True)
+class UsageJoined:
+    """Tells a process that the sender knows its claims and has sent it all others.
+
+    Attributes:
+        number: Number of the claims.
+    """
+
+    number: int
+
+
+@dataclass(frozen=True, slots=True)
+class UsageNews:
+    """What a watcher knows of accounts besides single claims.
+
+    Attributes:
+        reached: Accounts whose calls have reached their caps.
+        minor_use: Calls in the window of entries that got no share, by account.
+    """
+
+    watcher: str
+    reached: list[str]
+    minor_use: dict[str, int]
+
+
 @dataclass(frozen=True, slots=True)
 class KeyQuestion:
     """Asks the owner of an idempotency key for the call's outcome or the right to run it.
@@ -227,6 +260,9 @@
     | DrainNotice
     | CrashNotice
     | RateLimitNotices
+    | UsageClaims
+    | UsageJoined
+    | UsageNews
     | KeyQuestion
     | KeyReply
     | ExplanationHandover
@@ -247,6 +283,9 @@
         DrainNotice,
         CrashNotice,
         RateLimitNotices,
+        UsageClaims,
+        UsageJoined,
+        UsageNews,
         KeyQuestion,
         KeyReply,
         ExplanationHandover,
@@ -278,6 +317,8 @@
             values[2] = {name: row_to_plain(row) for name, row in rows.items()}
         case RateLimitNotices(notices=notices):
             values[0] = [[getattr(item, part.name) for part in fields(item)] for item in notices]
+        case UsageClaims(claims=claims):
+            values[0] = [_claims_to_plain(item) for item in claims]
         case KeyReply(reply=reply):
             values[1] = _reply_to_plain(reply)
     return cbor2.dumps([type(message).__name__, *values])
@@ -303,6 +344,8 @@
                 values[2] = {name: row_from_plain(row) for name, row in values[2].items()}
             case "RateLimitNotices":
                 values[0] = [RateLimitNotice(*item) for item in values[0]]
+            case "UsageClaims":
+                values[0] = [_claims_from_plain(item) for item in values[0]]
             case "KeyReply":
                 values[1] = _reply_from_plain(values[1])
         return _CLASS_BY_TAG[tag](*values)
@@ -316,6 +359,19 @@
         raise MalformedMessage(f"{type(error).__name__}: {error}") from None
 
 
+def _claims_to_plain(claims: Claims) -> list[Any]:
+    plain = [getattr(claims, item.name) for item in fields(claims)]
+    plain[-1] = {
+        name: [claim.rate_per_s, claim.used] for name, claim in claims.claim_by_account.items()
+    }
+    return plain
+
+
+def _claims_from_plain(plain: list[Any]) -> Claims:
+    *values, claims = plain
+    return Claims(*values, {name: Claim(*claim) for name, claim in claims.items()})
+
+
 def outcome_to_plain(outcome: Outcome) -> list[Any]:
     """Return ``outcome`` as a list that starts with its kind."""
     match outcome:
--- a/packages/cassiahaven-core/cassiahaven_core/reason.py
+++ b/packages/cassiahaven-core/cassiahaven_core/reason.py
@@ -19,6 +19,7 @@
     QUEUE_FULL = "queue-full"
     WAIT_TOO_LONG = "wait-too-long"
     RATE_LIMITED = "rate-limited"
+    USAGE_CAPPED = "usage-capped"
     PARTNER_BLOCKED = "partner-blocked"
     NO_UPSTREAM = "no-upstream"
     UPSTREAM_REFUSED = "upstream-refused"
--- a/packages/cassiahaven-entry/cassiahaven_entry/fleet_links.py
+++ b/packages/cassiahaven-entry/cassiahaven_entry/fleet_links.py
@@ -1,6 +1,6 @@
 """Peer links within a fleet: each entry subscribes to a few entries that watch the store."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Collection, Mapping
 from dataclasses import replace
 
 import eventlet
@@ -15,6 +15,9 @@
     RateLimitNotices,
     StateNews,
     StateRequest,
+    UsageClaims,
+    UsageJoined,
+    UsageNews,
     WatcherPulse,
     WatcherReport,
     encode_once,
@@ -26,6 +29,7 @@
 from cassiahaven_entry.peer_handler import PeerSubscribers
 from cassiahaven_entry.peer_server import PeerServer
 from cassiahaven_entry.supervisor import spawn_supervised
+from cassiahaven_entry.usage_exchange import UsageExchange
 
 REPORT_INTERVAL_MS = 500.0
 UNREACHABLE_MS = 3000.0  # an entry restarts within this time
@@ -47,6 +51,9 @@
         on_state_update: Called with a state update and the name of the watcher that sent it.
         on_crash: Called with each notice of a request that crashed an endpoint.
         on_rate_limit: Called with each notice of another rate limit of an endpoint.
+
+    Attributes:
+        usage: Exchange of claims on usage caps, ``None`` if the deployment has no such caps.
     """
 
     __slots__ = (
@@ -56,6 +63,7 @@
         "on_state_update",
         "on_crash",
         "on_rate_limit",
+        "usage",
     )
 
     def __init__(
@@ -74,6 +82,7 @@
         self.on_state_update = on_state_update
         self.on_crash = on_crash
         self.on_rate_limit = on_rate_limit
+        self.usage: UsageExchange | None = None
 
 
 class StateRequestPacer:
@@ -165,13 +174,21 @@
         self._version_by_topic = {}
         self._reported_versions = {}
         self.report(self._fleet.own.name in self._fleet.draining)
+        if self._state.usage is not None:
+            self._state.usage.report_all()
 
     def _on_disconnected(self) -> None:
         self.failed_ms = now_ms()
         self._fleet.discard_watcher_report(self.name)
 
     def _receive(self, message: PeerMessage) -> None:
+        usage = self._state.usage
+        if usage is not None:
+            usage.note_watcher()
         match message:
+            case UsageClaims() | UsageJoined() | UsageNews():
+                if usage is not None:
+                    usage.receive_from_watcher(message)
             case WatcherReport():
                 self._apply_update(message)
             case WatcherPulse(store_age_ms=store_age_ms):
@@ -242,6 +259,11 @@
             ping_interval=None,
         )
 
+    @property
+    def name_by_connection(self) -> Mapping[str, str]:
+        """Return the names of the subscribers by connection."""
+        return self._name_by_connection
+
     @property
     def has_subscribers(self) -> bool:
         """Return whether any entry subscribes to this one."""
@@ -299,6 +321,15 @@
         for link in self.link_by_name.values():
             link.send(message)
 
+    def send_to_watchers(self, message: PeerMessage) -> None:
+        """Send ``message`` to all watchers."""
+        for link in self.link_by_name.values():
+            link.send(message)
+
+    def send_to_subscribers(self, message: PeerMessage, connections: Collection[str]) -> None:
+        """Send ``message`` to the subscribers of some connections."""
+        self._server.send_to(message, connections)
+
     def publish_rate_limit(self, notice: RateLimitNotice) -> None:
         """Send a notice to all watchers, and to all subscribers together with others."""
         for link in self.link_by_name.values():
@@ -350,11 +381,15 @@
                 for notice in notices:
                     self._state.on_rate_limit(notice)
                     self._publish_later(notice)
+            case UsageClaims() if self._state.usage is not None:
+                return list(self._state.usage.receive(connection, message))
         return []
 
     def on_disconnected(self, connection: str) -> None:
         """Handle the end of a subscriber's connection."""
         name = self._name_by_connection.pop(connection, None)
+        if self._state.usage is not None:
+            self._state.usage.forget(connection)
         if name is not None and name not in self._name_by_connection.values():
             self._fleet.discard_report(name)
             log(LogEvent.PEER_LOST, peer=name)
--- a/packages/cassiahaven-entry/cassiahaven_entry/metrics.py
+++ b/packages/cassiahaven-entry/cassiahaven_entry/metrics.py
@@ -110,6 +110,12 @@
         self.rate_limited_endpoints = self._gauge(
             "rate_limited_endpoints", "Endpoints that name a rate limit"
         )
+        self.usage_cap_calls = self._counter(
+            "usage_cap_calls", "Calls of accounts with usage caps by how they were decided", "state"
+        )
+        self.usage_claims_age = self._gauge(
+            "usage_claims_age_seconds", "Age of the oldest claims of another entry that count"
+        )
         self.rejected_rows = self._gauge(
             "rejected_rows", "Rows of the configuration in force that cannot be used"
         )
--- a/packages/cassiahaven-entry/cassiahaven_entry/peer_server.py
+++ b/packages/cassiahaven-entry/cassiahaven_entry/peer_server.py
@@ -1,6 +1,7 @@
 """The accepting end of peer links: it publishes messages and replies to requests."""
 
 import hmac
+from collections.abc import Collection
 from http import HTTPStatus
 
 from websockets.http11 import Request, Response
@@ -88,6 +89,13 @@
         for connection in list(self._subscribers):
             self._send(connection, encoded.kind, encoded.data)
 
+    def send_to(self, message: PeerMessage, connections: Collection[str]) -> None:
+        """Send ``message`` to the subscribers of some connections."""
+        encoded = encode_once(message)
+        for connection in list(self._subscribers):
+            if str(connection.id) in connections:
+                self._send(connection, encoded.kind, encoded.data)
+
     def _check(self, connection: ServerConnection, request: Request) -> Response | None:
         authorization = request.headers.get("Authorization", "")
         if not hmac.compare_digest(authorization.encode(), self._authorization.encode()):
--- a/packages/cassiahaven-entry/cassiahaven_entry/routed_calls.py
+++ b/packages/cassiahaven-entry/cassiahaven_entry/routed_calls.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable
 from itertools import count
 
+from cassiahaven_core.account import ClientAccount
 from cassiahaven_core.admission import WaitingCall
 from cassiahaven_core.answer_record import AnswerRecord
 from cassiahaven_core.edge import CallRequest, CallResponse
@@ -10,6 +11,7 @@
 from cassiahaven_core.outcome import NotRun, Outcome, Ran, Unknown
 from cassiahaven_core.reason import RefusalReason, UnknownReason
 from cassiahaven_core.route import NoRouteReason, Route, RoutingTable
+from cassiahaven_core.usage_cap import Capped
 from cassiahaven_entry.attempts import AttemptRunner
 from cassiahaven_entry.call import Call, Finished
 from cassiahaven_entry.caller_connection import CallerLeft
@@ -18,6 +20,7 @@
 from cassiahaven_entry.event import LogEvent, log
 from cassiahaven_entry.metrics import Metrics
 from cassiahaven_entry.service_task import ServiceTask
+from cassiahaven_entry.usage_exchange import UsageExchange
 
 NO_SERVICE = "none"
 REFUSAL_BY_MISS = {
@@ -38,6 +41,7 @@
         task_for: Returns the task that owns a service's policy.
         attempts: Sends calls to upstreams and retries them.
         dialect: Protocol that callers speak.
+        usage: Decides whether accounts are within their usage caps, ``None`` without such caps.
     """
 
     def __init__(
@@ -49,6 +53,7 @@
         dialect: CallerDialect,
         *,
         metrics: Metrics,
+        usage: UsageExchange | None = None,
     ) -> None:
         self._process = process
         self._routing = routing
@@ -56,6 +61,7 @@
         self._attempts = attempts
         self._dialect = dialect
         self._metrics = metrics
+        self._usage = usage
         self._numbers = count(1)
         self.explanations = ExplanationMemory()
 
@@ -71,6 +77,12 @@
         service = self._routing.choose_service(route)
         call = Call(request, service, self._waiting(request, route))
         task = self._task_for(service)
+        if self._usage is not None:
+            capped = self._usage_refusal(self._routing.account_by_name.get(call.partner))
+            if capped is not None:
+                call.note("usage cap", f"{capped.state.value} {capped.retry_after_ms:.0f} ms")
+                finished = Finished(NotRun(RefusalReason.USAGE_CAPPED))
+                return self._respond(call, route, task, finished, capped.retry_after_ms)
         try:
             finished = self._attempts.run(call, task)
         except CallerLeft:
@@ -97,6 +109,12 @@
             most_attempts=route.most_attempts,
         )
 
+    def _usage_refusal(self, account: ClientAccount | None) -> Capped | None:
+        """Count a call of ``account``, and return its refusal if it exceeds the usage cap."""
+        if self._usage is None or account is None:
+            return None
+        return self._usage.check(account.name)
+
     def _refuse_unrouted(self, request: CallRequest, miss: NoRouteReason) -> CallResponse:
         reason = REFUSAL_BY_MISS[miss]
         self._metrics.refusals.labels(NO_SERVICE, reason.value).inc()
@@ -116,14 +134,18 @@
         )
 
     def _respond(
-        self, call: Call, route: Route, task: ServiceTask, finished: Finished
+        self,
+        call: Call,
+        route: Route,
+        task: ServiceTask,
+        finished: Finished,
+        retry_after_ms: float | None = None,
     ) -> CallResponse:
         outcome = finished.outcome
         self._count(call, outcome)
         answer = finished.answer
         if answer is None:
-            retry_after_ms = None
-            if isinstance(outcome, NotRun):
+            if retry_after_ms is None and isinstance(outcome, NotRun):
                 retry_after_ms = task.policy.retry_after_ms(call.waiting, now_ms())
             response = self._dialect.local_response(
                 call.service,
--- a/packages/cassiahaven-entry/cassiahaven_entry/routed_node.py
+++ b/packages/cassiahaven-entry/cassiahaven_entry/routed_node.py
@@ -24,6 +24,7 @@
 from cassiahaven_core.route import GatewayConfig, RoutingTable
 from cassiahaven_core.routed_settings import RoutedSettings, SocketAddress
 from cassiahaven_core.table import ServiceTable
+from cassiahaven_core.usage_cap import UsageCaps
 from cassiahaven_entry.adapter import PlatformAdapter
 from cassiahaven_entry.attempts import PROBE_TIMEOUT_MS, AttemptRunner
 from cassiahaven_entry.auxiliary_server import AuxiliaryServer
@@ -40,6 +41,7 @@
 from cassiahaven_entry.store_feed import StoreFeed
 from cassiahaven_entry.supervisor import spawn_supervised
 from cassiahaven_entry.tables import Tables
+from cassiahaven_entry.usage_exchange import UsageExchange
 
 PROCESS_NAME_BYTES = 6
 OK_STATUS = 200
@@ -141,6 +143,7 @@
             on_rate_limit=self._apply_rate_limit_notice,
         )
         self.links = FleetLinks(self.fleet, state, key=PEER_KEY, metrics=self.metrics)
+        self.usage = state.usage = self._make_usage_exchange()
         self.store = self._adapter.make_store(self.settings, self.metrics)
         self.tables = Tables(
             self.store,
@@ -156,6 +159,20 @@
             is_starting=lambda: not self.view.has_members,
         )
 
+    def _make_usage_exchange(self) -> UsageExchange | None:
+        bounds = self.settings.usage_cap
+        if bounds is None:
+            return None
+        return UsageExchange(
+            UsageCaps(self.settings.name, self.process, bounds),
+            self.fleet,
+            named=lambda: self._serving,
+            subscribers=lambda: self.links.name_by_connection,
+            send=self.links.send_to_watchers,
+            send_to=self.links.send_to_subscribers,
+            metrics=self.metrics,
+        )
+
     def _build_calls(self) -> None:
         dialect = self._adapter.make_upstream_dialect()
         callers = self._adapter.make_caller_dialect(self.routing)
@@ -177,6 +194,7 @@
             self._attempts,
             callers,
             metrics=self.metrics,
+            usage=self.usage,
         )
         caller_address = self.settings.callers
         self.frontend = HttpFrontend(
@@ -232,6 +250,8 @@
             "callers": lambda: self.frontend.serve(self.calls.run),
         }
         runs |= {f"store {topic.value}": lambda t=topic: self.feed.follow(t) for topic in Topic}
+        if self.usage is not None:
+            runs["usage claims"] = self.usage.run
         runs |= {f"auxiliary server {n}": item.run for n, item in enumerate(self.auxiliary_servers)}
         return [spawn_supervised(name, run) for name, run in runs.items()]
 
@@ -319,6 +339,8 @@
 
     def _on_config(self, config: GatewayConfig) -> None:
         self.metrics.rejected_rows.set(len(config.rejected))
+        if self.usage is not None:
+            self.usage.caps.set_accounts(config.accounts or ())
         for spec in config.service_by_name.values():
             self._get_or_create_task(spec.name).health_path = spec.health_path
         self.links.publish_report()
