--- a/packages/cassiahaven-entry/cassiahaven_entry/routed_calls.py
+++ b/packages/cassiahaven-entry/cassiahaven_entry/routed_calls.py
@@ -12,6 +12,7 @@
 from cassiahaven_core.outcome import NotRun, Outcome, Ran, Unknown
 from cassiahaven_core.reason import RefusalReason, UnknownReason
 from cassiahaven_core.route import NoRouteReason, Route, RoutingTable
+from cassiahaven_core.usage_cap import Capped
 from cassiahaven_entry.attempts import AttemptRunner
 from cassiahaven_entry.call import Call, Finished
 from cassiahaven_entry.caller_connection import CallerLeft
@@ -20,6 +21,7 @@
 from cassiahaven_entry.event import LogEvent, log
 from cassiahaven_entry.metrics import Metrics
 from cassiahaven_entry.service_task import ServiceTask
+from cassiahaven_entry.usage_exchange import UsageExchange
 
 NO_SERVICE = "none"
 REFUSAL_BY_MISS = {
@@ -54,6 +56,7 @@
         dialect: Protocol that callers speak.
         has_current_view: Returns whether the state of accounts is recent enough to accept keys.
         fair_service: Counts of the client accounts' calls.
+        usage: Decides whether accounts are within their usage caps, ``None`` without such caps.
     """
 
     def __init__(
@@ -67,6 +70,7 @@
         metrics: Metrics,
         has_current_view: Callable[[], bool] = lambda: True,
         fair_service: FairService | None = None,
+        usage: UsageExchange | None = None,
     ) -> None:
         self._process = process
         self._routing = routing
@@ -76,6 +80,7 @@
         self._metrics = metrics
         self._has_current_view = has_current_view
         self._fair_service = fair_service or FairService()
+        self._usage = usage
         self._numbers = count(1)
         self.explanations = ExplanationMemory()
 
@@ -95,6 +100,12 @@
         service = self._routing.choose_service(route)
         call = Call(request, service, self._waiting(request, route, account), account=account)
         task = self._task_for(service)
+        if self._usage is not None:
+            capped = self._usage_refusal(account)
+            if capped is not None:
+                call.note("usage cap", f"{capped.state.value} {capped.retry_after_ms:.0f} ms")
+                finished = Finished(NotRun(RefusalReason.USAGE_CAPPED))
+                return self._respond(call, route, task, finished, capped.retry_after_ms)
         try:
             finished = self._attempts.run(
                 call, task, check=lambda call: self._check_again(call, route)
@@ -157,6 +168,12 @@
         self._record_end(call, route, outcome.header, status=response.status)
         return response
 
+    def _usage_refusal(self, account: ClientAccount | None) -> Capped | None:
+        """Count a call of ``account``, and return its refusal if it exceeds the usage cap."""
+        if self._usage is None or account is None or not account.name:
+            return None
+        return self._usage.check(account.name)
+
     def _refuse_unrouted(self, request: CallRequest, miss: NoRouteReason) -> CallResponse:
         reason = REFUSAL_BY_MISS[miss]
         self._metrics.refusals.labels(NO_SERVICE, reason.value).inc()
@@ -176,14 +193,18 @@
         )
 
     def _respond(
-        self, call: Call, route: Route, task: ServiceTask, finished: Finished
+        self,
+        call: Call,
+        route: Route,
+        task: ServiceTask,
+        finished: Finished,
+        retry_after_ms: float | None = None,
     ) -> CallResponse:
         outcome = finished.outcome
         self._count(call, outcome)
         answer = finished.answer
         if answer is None:
-            retry_after_ms = None
-            if isinstance(outcome, NotRun):
+            if retry_after_ms is None and isinstance(outcome, NotRun):
                 retry_after_ms = task.policy.retry_after_ms(call.waiting, now_ms())
             response = self._dialect.local_response(
                 call.service,
