--- a/packages/cassiahaven-entry/tests/test_usage_exchange.py
+++ b/packages/cassiahaven-entry/tests/test_usage_exchange.py
@@ -8,8 +8,9 @@
 from cassiahaven_core.edge import CallRequest
 from cassiahaven_core.membership import Fleet, Member
 from cassiahaven_core.outcome import NotRun
-from cassiahaven_core.peer_message import StateRequest, (
+from cassiahaven_core.peer_message import (
     MemberReport,
+    StateRequest,
     UsageClaims,
     UsageJoined,
     UsageNews,
