--- a/packages/cassiahaven-core/cassiahaven_core/service.py
+++ b/packages/cassiahaven-core/cassiahaven_core/service.py
@@ -308,6 +308,9 @@
             return math.ceil(closed_for_ms)
         wait_ms = self._expected_wait_ms(call, now_ms)
         rate_per_s = self.pool.serving_rate_per_s()
+        if not rate_per_s and self.pool.has_serving_endpoint():
+            # All endpoints are cold, and this entry has no share of what they bear.
+            return min(self.pool.opens_in_ms(now_ms), MAX_RETRY_AFTER_MS)
         if not 0 < rate_per_s < UNLIMITED:
             return wait_ms + self.pool.typical_latency_ms(call.latency_class) / 2
         # Each refused caller is sent back for another call that the rate limits will let through.
--- a/packages/cassiahaven-core/tests/test_cold_start.py
+++ b/packages/cassiahaven-core/tests/test_cold_start.py
@@ -412,3 +412,23 @@
         submit(policy, number, 20.0)
     in_flight = {name: item.in_flight for name, item in policy.pool.endpoint_by_id.items()}
     assert in_flight == {"a1": 1, "a2": 1, "b1": 1}
+
+
+def test_refused_connection_lets_the_endpoint_return_step_by_step():
+    # Guards against full load on a process that starts anew under its old registration.
+    pool = cold_pool([])
+    pool.set_endpoints([make_address("e0", cold_ends_ms=0.0)], 0.0)
+    pool.start(pool.endpoint_by_id["e0"], "c", "k", 0.0)
+    pool.finish("e0", "c", CallResult.CONNECT_FAILED, 1.0)
+    pool.start(pool.choose(2.0, idempotent=False), "d", "k", 2.0)
+    assert pool.choose(2.0, idempotent=False) is None
+
+
+def test_entry_without_a_share_refuses_until_the_endpoints_are_warm():
+    # Guards against callers that are sent back at once to an entry that cannot serve them yet.
+    pool = cold_pool([], share=ColdShare({}, 0.0))
+    pool.set_endpoints([make_address("e0", cold_ends_ms=3000.0)], 0.0)
+    policy = make_policy(pool)
+    [refused] = submit(policy, 0, 10.0, deadline_ms=1000.0)
+    call = WaitingCall(refused.call_id, "p", True, 1010.0, 10.0)
+    assert policy.retry_after_ms(call, 10.0) == 2990.0
--- a/packages/cassiahaven-entry/cassiahaven_entry/metrics.py
+++ b/packages/cassiahaven-entry/cassiahaven_entry/metrics.py
@@ -116,6 +116,9 @@
         self.calls_to_cold = self._counter(
             "calls_to_cold", "Calls and probes sent to such endpoints", "service", "kind"
         )
+        self.evacuated_zones = self._gauge(
+            "evacuated_zones", "Availability zones whose endpoints get no calls"
+        )
         self.rejected_rows = self._gauge(
             "rejected_rows", "Rows of the configuration in force that cannot be used"
         )
--- a/packages/cassiahaven-entry/cassiahaven_entry/routed_node.py
+++ b/packages/cassiahaven-entry/cassiahaven_entry/routed_node.py
@@ -150,6 +150,7 @@
                 for task in self._task_by_service.values()
             )
         )
+        self.metrics.evacuated_zones.set_function(lambda: len(self.view.evacuated_zones))
         self.metrics.kept_endpoints.set_function(lambda: len(self.view.registry.kept_endpoints))
         state = LinkCallbacks(
             report=self._report,
@@ -503,6 +504,9 @@
 
     def _share_cold_starts(self) -> None:
         """Divide the calls that cold endpoints bear among the entries that serve callers."""
+        config = self.routing.config
+        if config is None or not any(item.cold_per_s for item in config.service_by_name.values()):
+            return
         self._cold_share = self._cold_shares.update(
             self._serving,
             members=len(self.fleet.member_by_name),
--- a/tests/test_platform_evacuations.py
+++ b/tests/test_platform_evacuations.py
@@ -1,5 +1,6 @@
 """Evacuated zones and cold endpoints, with real entries against the platform's stand-ins."""
 
+import json
 import signal
 import threading
 import time
@@ -7,6 +8,7 @@
 
 import pytest
 
+from cassiahaven_cli.report import status_report
 from cassiahaven_standins.fleet import wait_until
 from cassiahaven_standins.platform_fleet import platform_fleet
 
@@ -70,6 +72,10 @@
     )
 
 
+def status_of(entry):
+    return status_report(json.loads(entry.http_get(entry.operator_port, "/v1/status")[1]))
+
+
 def sleep(seconds):
     threading.Event().wait(seconds)
 
@@ -83,6 +89,7 @@
         fleet.evacuate("a")
         sleep(AIM_S + 1.0)
         assert not arrivals_in(fleet, "a", evacuated_s + AIM_S)
+        assert "evacuated availability zones: a" in status_of(fleet.entries[0])
         withdrawn_s = time.monotonic()
         fleet.store.state.delete("evacuations", "a")
         sleep(AIM_S + 1.0)
@@ -147,7 +154,9 @@
         for state in cold:
             state.cold_until_s = time.monotonic() + COLD_MS / 1000
         told_s = time.monotonic() + 0.3
-        sleep(COLD_MS / 1000)
+        sleep(COLD_MS / 2000)
+        assert "; cold for " in status_of(fleet.entries[0])
+        sleep(COLD_MS / 2000)
     for state in cold:
         times_s = [at_s for at_s, _ in state.arrivals] + state.health_checks_s
         times_s = sorted(at_s for at_s in times_s if told_s <= at_s < state.cold_until_s)
