--- a/packages/cassiahaven-entry/cassiahaven_entry/metrics.py
+++ b/packages/cassiahaven-entry/cassiahaven_entry/metrics.py
@@ -155,6 +155,9 @@
         self.usage_claims_age = self._gauge(
             "usage_claims_age_seconds", "Age of the oldest claims of another entry that count"
         )
+        self.evacuated_zones = self._gauge(
+            "evacuated_zones", "Availability zones whose endpoints get no calls"
+        )
         self.rejected_rows = self._gauge(
             "rejected_rows", "Rows of the configuration in force that cannot be used"
         )
