End the trial of an ejected endpoint whose call moved elsewhere

A call that was chosen as the trial of an ejected endpoint and then moved to another one, as its probe failed or found the endpoint slow, left the endpoint in the state of a trial. No call ended the trial, so the endpoint got no calls and no probes until another one of its calls finished or it was listed anew.

The trial now ends when its call moves: the endpoint is ejected and a probe tries it one second later.

--- a/packages/cassiahaven-core/cassiahaven_core/pool.py
+++ b/packages/cassiahaven-core/cassiahaven_core/pool.py
@@ -538,6 +538,7 @@
         best = self.choose(now_ms, idempotent=False, excluded=excluded | {name})
         if best is not None and self._cost(best, now_ms) < self._cost(endpoint, now_ms):
             self.start(best, call_id, started.partner, now_ms)
+            self._end_trial_unsent(endpoint, now_ms)
             return best
         self.start(endpoint, call_id, started.partner, now_ms)
         return None
@@ -614,6 +615,18 @@
         endpoint.ejected_until_ms = max(endpoint.ejected_until_ms, now_ms + 2 * BASE_EJECTION_MS)
         self.handle(endpoint.address.endpoint, EndpointEvent.FAILING, reason, now_ms)
 
+    def _end_trial_unsent(self, endpoint: Endpoint, now_ms: float) -> None:
+        """End a trial whose call went elsewhere, which would leave the endpoint out for good."""
+        if endpoint.status is not EndpointStatus.TRIAL:
+            return
+        endpoint.probe_due_ms = now_ms + BASE_EJECTION_MS
+        if now_ms == endpoint.probe_failed_ms:
+            self._keep_ejected(endpoint, "probe before the trial failed", now_ms)
+        else:
+            endpoint.ejected_until_ms = max(endpoint.ejected_until_ms, now_ms + BASE_EJECTION_MS)
+            name = endpoint.address.endpoint
+            self.handle(name, EndpointEvent.FAILING, "trial went elsewhere", now_ms)
+
     def _end_ejection(self, endpoint: Endpoint) -> None:
         """Forget what its being unreachable explains."""
         if endpoint.is_unreachable:
--- a/packages/cassiahaven-core/tests/test_endpoint_recovery.py
+++ b/packages/cassiahaven-core/tests/test_endpoint_recovery.py
@@ -104,3 +104,20 @@
     first = sent.index("e0")
     effects = policy.finish(calls[first], "e0", CallResult.OK, 1600.0)
     assert [item.address.endpoint for item in effects].count("e0") == 2
+
+
+@pytest.mark.parametrize(
+    "report", [ProbeFailed("refused"), LoadReport(0, 0, 5.0)], ids=["failed", "slow"]
+)
+def test_endpoint_whose_trial_moved_elsewhere_is_tried_again(make_policy, make_call, report):
+    """Guards against an endpoint that stays out for good, as no call is left to end its trial."""
+    policy = make_policy(endpoints=2, slots=2)
+    fail(policy, make_call, "e0", 0.0, CallResult.CONNECT_FAILED, 3)
+    call = make_call("trial", arrived_ms=1000.0, deadline_ms=9000.0)
+    [effect] = policy.submit(call, 1000.0)
+    assert effect.address.endpoint == "e0"
+    assert policy.apply_probe(call, "e0", report, 1000.0).address.endpoint == "e1"
+    assert policy.pool.endpoint_by_id["e0"].status is EndpointStatus.EJECTED
+    for at_ms in range(1020, 2100, 20):
+        probe(policy, LoadReport(0), float(at_ms))
+    assert policy.pool.endpoint_by_id["e0"].is_serving
