--- a/packages/cassiahaven-entry/cassiahaven_entry/routed_calls.py
+++ b/packages/cassiahaven-entry/cassiahaven_entry/routed_calls.py
@@ -151,6 +151,7 @@
             target_at_ms=arrived_ms + route.target_ms,
             most_attempts=route.most_attempts,
             work_class=route.name,
+            body_bytes=len(request.body),
         )
 
     def _refuse(
