Answer lookups with the live entries that can serve, also where this one cannot

Cause: the directory of an entry answered 503 while the entry itself had no configuration or endpoints yet, and when all live entries were draining, though it knew entries that served. Entries without a configuration were named as soon as they were connected.

Change: watchers report which live entries have no configuration yet; lookups leave them and an entry that is not ready out and name the others. A draining entry is named only if all are. An entry tells its watchers of its first configuration at once. Shares of limits still count starting entries, so that they sum to at most 1. A lookup gets 503 only if no usable entry is known.

--- a/packages/cassiahaven-core/cassiahaven_core/membership.py
+++ b/packages/cassiahaven-core/cassiahaven_core/membership.py
@@ -1,6 +1,6 @@
 """Fleet membership: live entries, the watchers of the store, and the entries for each zone."""
 
-from collections.abc import Iterable
+from collections.abc import Iterable, Set
 from dataclasses import dataclass
 
 from cassiahaven_core.rendezvous import rank, score
@@ -9,6 +9,7 @@
 WATCHER_RANK_KEY = "watcher"
 MAX_WATCHERS = 3  # one per zone for up to three zones; all three are rarely cut off at once
 REPORT_TIMEOUT_MS = 1500.0  # three missed reports, which are 500 ms apart
+CONFIGURATION_TOPIC = "configuration"  # the value of ``Topic.CONFIGURATION``
 MAX_KEPT_WATCHERS = 8  # each entry asks for its watchers some 50 times a second
 MAX_STORE_VIEW_AGE_MS = 1200.0  # leaves 800 ms of the 2 s limit for another entry to read a change
 
@@ -43,12 +44,14 @@
         store_answered_ms: When the store last answered the watcher, on this process's clock.
         live: Names of the entries that report to it, itself included.
         draining: Those of them that told it that they are draining.
+        starting: Those of them that have no configuration yet.
     """
 
     last_message_ms: float
     store_answered_ms: float
     live: frozenset[str]
     draining: frozenset[str]
+    starting: frozenset[str]
 
 
 class Fleet:
@@ -130,9 +133,16 @@
         draining: Iterable[str],
         store_age_ms: float,
         now_ms: float,
+        starting: Iterable[str] = (),
     ) -> None:
         """Record a watcher's report on the fleet and the store."""
-        view = WatcherView(now_ms, now_ms - store_age_ms, frozenset(live), frozenset(draining))
+        view = WatcherView(
+            now_ms,
+            now_ms - store_age_ms,
+            frozenset(live),
+            frozenset(draining),
+            frozenset(starting),
+        )
         self.view_by_watcher[watcher] = view
         self._record_store_age(store_age_ms, now_ms)
         for name in (self.draining & view.live) | view.draining:
@@ -180,6 +190,25 @@
         """
         return sorted(self._told_draining | (self.draining & {self.own.name}))
 
+    def own_starting(self, now_ms: float) -> list[str]:
+        """Return the subscribers that reported that they have no configuration yet."""
+        return [
+            name
+            for name in self.own_subscribers(now_ms)
+            if self.versions_by_name.get(name, {}).get(CONFIGURATION_TOPIC) == 0
+        ]
+
+    def starting(self, now_ms: float) -> set[str]:
+        """Return the entries that no configuration has reached, as far as any source knows."""
+        views = [
+            view
+            for view in self.view_by_watcher.values()
+            if now_ms - view.last_message_ms < REPORT_TIMEOUT_MS
+        ]
+        names = set(self.own_starting(now_ms)).union(*(view.starting for view in views))
+        started = {name for view in views for name in view.live - view.starting}
+        return names - started - {self.own.name}
+
     def watchers(self, unreachable: frozenset[str] = frozenset()) -> list[Member]:
         """Return the entries that watch the store for the fleet, at most one per zone.
 
@@ -216,15 +245,24 @@
             for view in self.view_by_watcher.values()
         )
 
-    def serving_entries(self, zone: str, cores: float, now_ms: float) -> list[Member]:
+    def serving_entries(
+        self, zone: str, cores: float, now_ms: float, *, unusable: Set[str] = frozenset()
+    ) -> list[Member]:
         """Return the entries that callers in ``zone`` use.
 
         There are as few as possible, so that each sees most of an endpoint's load: the largest
         entries first, until they have ``cores`` in total. Entries of the callers' zone are
-        preferred; other zones fill up what is missing.
+        preferred; other zones fill up what is missing. Draining entries are used only if all are
+        draining, since they still finish calls for a moment.
+
+        Args:
+            zone: Zone of the callers.
+            cores: Cores that suffice.
+            now_ms: Current time, milliseconds.
+            unusable: Entries that cannot serve yet, or no longer.
         """
-        live = self.live_names(now_ms) - self.draining
-        members = [self.member_by_name[name] for name in live]
+        live = self.live_names(now_ms) - unusable
+        members = [self.member_by_name[name] for name in live - self.draining or live]
         local_names = [item.name for item in members if item.availability_zone == zone]
         remote_names = [item.name for item in members if item.availability_zone != zone]
         chosen: list[Member] = []
--- a/packages/cassiahaven-core/cassiahaven_core/peer_message.py
+++ b/packages/cassiahaven-core/cassiahaven_core/peer_message.py
@@ -175,6 +175,7 @@
         store_age_ms: Time since the store's last answer.
         version_by_topic: Version of each topic that the sender has.
         sequence: Number of the last change that is included.
+        starting: Live entries that have no configuration yet, so callers cannot use them.
     """
 
     live: list[str]
@@ -182,6 +183,7 @@
     store_age_ms: float
     version_by_topic: dict[str, int]
     sequence: int = 0
+    starting: list[str] = field(default_factory=list)
 
 
 @dataclass(frozen=True, slots=True)
@@ -190,6 +192,8 @@
 
     Attributes:
         version_by_topic: The versions that changed.
+        starting: Further entries that have no configuration yet.
+        started: Entries that have one by now, or are gone.
     """
 
     sequence: int
@@ -199,6 +203,8 @@
     stopped_draining: list[str]
     store_age_ms: float
     version_by_topic: dict[str, int]
+    starting: list[str] = field(default_factory=list)
+    started: list[str] = field(default_factory=list)
 
     @property
     def is_empty(self) -> bool:
@@ -209,6 +215,8 @@
             or self.started_draining
             or self.stopped_draining
             or self.version_by_topic
+            or self.starting
+            or self.started
         )
 
 
--- a/packages/cassiahaven-core/cassiahaven_core/watcher_report.py
+++ b/packages/cassiahaven-core/cassiahaven_core/watcher_report.py
@@ -36,6 +36,8 @@
                 for topic, version in report.version_by_topic.items()
                 if version != before.version_by_topic.get(topic)
             },
+            starting=_missing(report.starting, before.starting),
+            started=_missing(before.starting, report.starting),
         )
         if change.is_empty:
             self.published = replace(report, sequence=before.sequence)
@@ -89,5 +91,12 @@
 def _changed(report: WatcherReport, change: WatcherReportChange) -> WatcherReport:
     live = (set(report.live) | set(change.joined)) - set(change.lost)
     draining = (set(report.draining) | set(change.started_draining)) - set(change.stopped_draining)
-    versions = report.version_by_topic | change.version_by_topic
-    return WatcherReport(list(live), list(draining), change.store_age_ms, versions, change.sequence)
+    starting = (set(report.starting) | set(change.starting)) - set(change.started)
+    return WatcherReport(
+        list(live),
+        list(draining),
+        change.store_age_ms,
+        report.version_by_topic | change.version_by_topic,
+        change.sequence,
+        list(starting),
+    )
--- a/packages/cassiahaven-core/tests/test_fleet.py
+++ b/packages/cassiahaven-core/tests/test_fleet.py
@@ -171,3 +171,21 @@
 def test_items_round_trip_through_their_plain_form(item):
     assert plain_to_item(type(item), item_to_plain(item)) == item
     assert replace(item) == item
+
+
+def test_directory_names_entries_that_have_a_configuration(fleet):
+    """Guards against lookups without an answer, or with entries that cannot serve yet."""
+    versions = {"configuration": 0}
+    fleet.record_report("a2", is_draining=False, now_ms=0.0, version_by_topic=versions)
+    assert fleet.own_starting(1.0) == ["a2"]
+    fleet.record_watcher_report(
+        "b1", live=["b1", "a2", "a3"], draining=[], store_age_ms=0.0, now_ms=0.0, starting=["a3"]
+    )
+    # The watcher has heard of the configuration of a2 first.
+    assert fleet.starting(1.0) == {"a3"}
+    named = fleet.serving_entries("a", 0.8, 1.0, unusable={"a1", *fleet.starting(1.0)})
+    assert [item.name for item in named] == ["a2"]
+    fleet.record_report("a2", is_draining=True, now_ms=1.0)
+    fleet.record_report("b1", is_draining=True, now_ms=1.0)
+    named = fleet.serving_entries("a", 0.8, 1.0, unusable={"a1", *fleet.starting(1.0)})
+    assert [item.name for item in named] == ["a2"]
--- a/packages/cassiahaven-core/tests/test_watcher_report.py
+++ b/packages/cassiahaven-core/tests/test_watcher_report.py
@@ -21,6 +21,7 @@
     WatcherReport,
     live=NAMES,
     draining=NAMES,
+    starting=NAMES,
     store_age_ms=st.just(0.0),
     version_by_topic=st.dictionaries(st.sampled_from(["endpoints", "tables"]), st.integers(1, 3)),
 )
@@ -28,7 +29,8 @@
 
 
 def content(report):
-    return set(report.live), set(report.draining), report.version_by_topic
+    names = (set(item) for item in (report.live, report.draining, report.starting))
+    return *names, report.version_by_topic
 
 
 @given(st.lists(st.tuples(REPORTS, FATES), min_size=1, max_size=12))
--- a/packages/cassiahaven-entry/cassiahaven_entry/fleet_links.py
+++ b/packages/cassiahaven-entry/cassiahaven_entry/fleet_links.py
@@ -219,6 +219,7 @@
                 draining=report.draining,
                 store_age_ms=report.store_age_ms,
                 now_ms=now_ms(),
+                starting=report.starting,
             )
         else:
             self._fleet.record_watcher_heartbeat(
@@ -322,6 +323,12 @@
         self._published_ms = now_ms()
         self._server.publish(self._reports.advance(self._state.report()))
 
+    def report(self) -> None:
+        """Tell the watchers at once what changed at this entry."""
+        is_draining = self._fleet.own.name in self._fleet.draining
+        for link in self.link_by_name.values():
+            link.report(is_draining)
+
     def publish(self, message: PeerMessage) -> None:
         """Send ``message`` to all subscribers and watchers."""
         self._server.publish(message)
@@ -367,6 +374,7 @@
             case MemberReport(name=name, is_draining=is_draining, version_by_topic=versions):
                 is_changed = connection not in self._name_by_connection
                 is_changed |= is_draining != (name in self._fleet.draining)
+                is_changed |= name in self._fleet.own_starting(now_ms())
                 self._name_by_connection[connection] = name
                 self._fleet.record_report(
                     name, is_draining=is_draining, now_ms=now_ms(), version_by_topic=versions
--- a/packages/cassiahaven-entry/cassiahaven_entry/routed_node.py
+++ b/packages/cassiahaven-entry/cassiahaven_entry/routed_node.py
@@ -244,8 +244,7 @@
         self.frontend.is_closing = True
         self.fleet.draining.add(self.settings.name)
         self.links.publish_report()
-        for link in self.links.link_by_name.values():
-            link.report(True)
+        self.links.report()
         close_at_ms = started_ms + self.settings.stop_ms * CLOSE_SHARE
         eventlet.sleep(max(0.0, close_at_ms - now_ms()) / MS_PER_S)
         self.frontend.stop()
@@ -286,9 +285,11 @@
         return response
 
     def _serving_entries(self, host: str, zone: str) -> list[Member]:
-        if not self.is_ready and not self.is_draining:
-            return []
-        return self.fleet.serving_entries(zone, SERVING_ENTRY_CORES, now_ms())
+        # An entry that cannot serve yet, or no longer, still names others that do.
+        unusable = self.fleet.starting(now_ms())
+        if not self.is_ready:
+            unusable.add(self.settings.name)
+        return self.fleet.serving_entries(zone, SERVING_ENTRY_CORES, now_ms(), unusable=unusable)
 
     def serving_entry_names(self) -> set[str]:
         """Return the entries that callers of any availability zone use."""
@@ -305,8 +306,13 @@
             draining=self.fleet.own_draining(),
             store_age_ms=min(self.feed.age_ms, 1e9),
             version_by_topic=self.view.versions(),
+            starting=self._starting_entries(),
         )
 
+    def _starting_entries(self) -> list[str]:
+        own = [] if self.is_ready or self.is_draining else [self.settings.name]
+        return [*own, *self.fleet.own_starting(now_ms())]
+
     def _is_watching(self, topic: Topic) -> bool:
         if not self.view.has_members:
             # Watchers are chosen from the members, so read these first.
@@ -322,6 +328,9 @@
         self.metrics.rejected_rows.set(len(config.rejected))
         for spec in config.service_by_name.values():
             self._get_or_create_task(spec.name).health_path = spec.health_path
+        if not self._is_ready:
+            # Callers are sent here only once the watchers know of the configuration.
+            self.links.report()
         self.links.publish_report()
 
     def _apply_table(self, table: ServiceTable, source: str) -> None:
@@ -437,13 +446,22 @@
     def _share_rate_limits(self) -> None:
         """Divide the endpoints' rate limits among the entries that serve callers."""
         members = self.fleet.member_by_name
-        inputs = (frozenset(self._live), frozenset(self.fleet.draining), tuple(members.values()))
+        inputs = (
+            frozenset(self._live),
+            frozenset(self.fleet.draining),
+            frozenset(self.fleet.starting(now_ms())),
+            tuple(members.values()),
+        )
         if inputs != self._serving_inputs:
             self._serving_inputs = inputs
             self._serving = {
                 member.name: member.availability_zone
                 for zone in self.settings.region_by_zone
-                for member in self.fleet.serving_entries(zone, SERVING_ENTRY_CORES, now_ms())
+                # Entries that are starting may have callers before all others know that they can.
+                for member in (
+                    *self.fleet.serving_entries(zone, SERVING_ENTRY_CORES, now_ms()),
+                    *self._serving_entries("", zone),
+                )
             }
         for task in self._task_by_service.values():
             task.set_serving_entries(self._serving, live=len(self._live))
