--- a/packages/cassiahaven-cli/cassiahaven_cli/report.py
+++ b/packages/cassiahaven-cli/cassiahaven_cli/report.py
@@ -99,5 +99,8 @@
         f"{service}: active {','.join(item['active'])}; standby {','.join(item['standby'])}; "
         f"revision in force {revisions}"
     )
+    lost = ", ".join(item.get("lost_rows", []))
+    if lost:
+        head += f"\nrows lost in a restore of the store, to be written again: {lost}"
     header = ["endpoint", "status", "why", "in flight", "slowness", "failures"]
     return f"{head}\n{columns(header, rows)}"
--- a/packages/cassiahaven-core/cassiahaven_core/edge.py
+++ b/packages/cassiahaven-core/cassiahaven_core/edge.py
@@ -13,6 +13,7 @@
 from cassiahaven_core.registry import Registration
 from cassiahaven_core.request_memory import Body
 from cassiahaven_core.route import GatewayConfig
+from cassiahaven_core.store_version import StoreVersion
 from cassiahaven_core.table import ServiceTable
 
 
@@ -38,7 +39,13 @@
 
 
 class VersionedStore(ABC):
-    """A key-value store with compare-and-set writes."""
+    """A key-value store with compare-and-set writes.
+
+    Attributes:
+        era: Number of times that the store was restored from a copy, as of its last answer.
+    """
+
+    era: int = 0
 
     @abstractmethod
     def get(self, key: str) -> StoredObject | None:
@@ -106,11 +113,18 @@
 
     Attributes:
         is_whole: Whether this is a snapshot with all items of the topic.
+        era: Era of the store to which the revision belongs.
     """
 
     revision: int
     changes: list[FleetChange]
     is_whole: bool
+    era: int = 0
+
+    @property
+    def version(self) -> StoreVersion:
+        """Return the version of the store up to which the items changed."""
+        return StoreVersion(self.era, self.revision)
 
 
 class HistoryGone(Exception):
--- a/packages/cassiahaven-core/cassiahaven_core/fleet_state.py
+++ b/packages/cassiahaven-core/cassiahaven_core/fleet_state.py
@@ -20,6 +20,7 @@
     ServiceShare,
     ServiceSpec,
 )
+from cassiahaven_core.store_version import NO_VERSION, StoreVersion
 from cassiahaven_core.table import ServiceTable
 from cassiahaven_core.table_codec import table_from_plain, table_to_plain
 
@@ -30,9 +31,9 @@
 
 
 class TopicState:
-    """The items of one topic at a revision of the store, and the most recent changes.
+    """The items of one topic at a version of the store, and the most recent changes.
 
-    The revision is the one that last changed an item, not the last one of the store: endpoints
+    The version is the one that last changed an item, not the last one of the store: endpoints
     write the store several times a second without changing anything. It never decreases: an update
     that arrives late, by a slower path, is ignored.
 
@@ -42,80 +43,94 @@
 
     __slots__ = (
         "item_by_name",
-        "revision",
+        "version",
         "digest",
         "_digest_by_name",
         "_changes",
-        "_complete_since_revision",
+        "_complete_since",
     )
 
     def __init__(self) -> None:
         self.item_by_name: dict[str, Item] = {}
-        self.revision = 0
+        self.version = NO_VERSION
         self.digest = 0
         self._digest_by_name: dict[str, int] = {}
-        self._changes: deque[tuple[int, str]] = deque(maxlen=KEPT_CHANGES)
-        self._complete_since_revision = 0
+        self._changes: deque[tuple[StoreVersion, str]] = deque(maxlen=KEPT_CHANGES)
+        self._complete_since = NO_VERSION
 
-    def replace(self, items: dict[str, Item], revision: int) -> bool:
-        """Replace all items with those at ``revision``; return whether any item changed."""
-        if revision < self.revision:
+    def replace(self, items: dict[str, Item], version: StoreVersion | int) -> bool:
+        """Replace all items with those at ``version``; return whether any item changed."""
+        version = StoreVersion.of(version)
+        if version < self.version:
             return False
         changed = {
             name
             for name in items.keys() | self.item_by_name.keys()
             if not _is_same(self.item_by_name.get(name), items.get(name))
         }
-        if self.revision == 0:
-            self._complete_since_revision = revision
+        if self.version == NO_VERSION:
+            self._complete_since = version
         self._set({name: items.get(name) for name in changed})
-        self._record_changes(changed, revision)
+        self._record_changes(changed, version)
         return bool(changed)
 
-    def change(self, changes: dict[str, Item | None], revision: int) -> bool:
-        """Apply the changes up to ``revision``; return whether there were any."""
-        if revision <= self.revision:
+    def change(self, changes: dict[str, Item | None], version: StoreVersion | int) -> bool:
+        """Apply the changes up to ``version``; return whether there were any."""
+        version = StoreVersion.of(version)
+        if version <= self.version or (changes and not self._can_continue(version)):
             return False
         changed = self._differing(changes)
         self._set({name: changes[name] for name in changed})
-        self._record_changes(changed, revision)
+        self._record_changes(changed, version)
         return bool(changed)
 
-    def revision_of(
-        self, items: dict[str, Item | None], revision_by_name: dict[str, int], revision: int
-    ) -> int:
-        """Return the revision that last changed this topic, given changes up to ``revision``.
+    def version_of(
+        self,
+        items: dict[str, Item | None],
+        revision_by_name: dict[str, int],
+        version: StoreVersion | int,
+    ) -> StoreVersion:
+        """Return the version that last changed this topic, given changes up to ``version``.
 
         Args:
             items: Items as the store told them, ``None`` for a deleted one.
             revision_by_name: Revisions that wrote the items, 0 where it is not known.
-            revision: Revision of the store's answer.
+            version: Version of the store's answer.
         """
-        if revision <= self.revision or self.revision == 0:
-            return revision
+        version = StoreVersion.of(version)
+        known = self.version
+        if version <= known or known == NO_VERSION or not self._can_continue(version):
+            return version
         changed = self._differing(items)
         if not changed:
-            return self.revision
+            return known
         # The revision of a deletion is not known.
         written = [revision_by_name.get(name, 0) if items[name] else 0 for name in changed]
-        if not all(self.revision < item <= revision for item in written):
-            return revision
-        return max(written)
+        if not all(known.revision < item <= version.revision for item in written):
+            return version
+        return StoreVersion(version.era, max(written))
 
-    def changed_since(self, revision: int, digest: int = 0) -> dict[str, Item | None] | None:
-        """Return the changes after ``revision``, or ``None`` if some are no longer kept.
+    def changed_since(
+        self, version: StoreVersion | int, digest: int = 0
+    ) -> dict[str, Item | None] | None:
+        """Return the changes after ``version``, or ``None`` if some are not known.
 
         Args:
-            revision: Revision of the entry that asks.
+            version: Version of the entry that asks.
             digest: Digest of its items, 0 if it is not known.
         """
+        version = StoreVersion.of(version)
         if digest and digest == self.digest:
             return {}
-        if revision < self._complete_since_revision:
+        if version < self._complete_since:
             return None
-        names = {name for at, name in self._changes if at > revision}
+        names = {name for at, name in self._changes if at > version}
         return {name: self.item_by_name.get(name) for name in names}
 
+    def _can_continue(self, version: StoreVersion) -> bool:
+        """Return whether changes up to ``version`` can follow the items of this one."""
+        return version.era == self.version.era
+
     def _differing(self, items: dict[str, Item | None]) -> set[str]:
         known = self.item_by_name
         return {name for name, item in items.items() if not _is_same(known.get(name), item)}
@@ -130,12 +145,16 @@
                 self._digest_by_name[name] = _digest(name, item)
                 self.digest ^= self._digest_by_name[name]
 
-    def _record_changes(self, names: set[str], revision: int) -> None:
+    def _record_changes(self, names: set[str], version: StoreVersion) -> None:
+        if not self._can_continue(version):
+            # An entry may have seen changes of the earlier era that this one never saw.
+            self._changes.clear()
+            self._complete_since = version
         for name in names:
             if len(self._changes) == KEPT_CHANGES:
-                self._complete_since_revision = self._changes[0][0]
-            self._changes.append((revision, name))
-        self.revision = revision
+                self._complete_since = self._changes[0][0]
+            self._changes.append((version, name))
+        self.version = version
 
 
 def _is_same(known: Item | None, item: Item | None) -> bool:
--- a/packages/cassiahaven-core/cassiahaven_core/membership.py
+++ b/packages/cassiahaven-core/cassiahaven_core/membership.py
@@ -5,6 +5,7 @@
 
 from cassiahaven_core.rendezvous import rank, score
 from cassiahaven_core.store_outage import StoreOutageDetector
+from cassiahaven_core.store_version import NO_VERSION, StoreVersion
 
 WATCHER_RANK_KEY = "watcher"
 MAX_WATCHERS = 3  # one per zone for up to three zones; all three are rarely cut off at once
@@ -83,7 +84,7 @@
         self.member_by_name: dict[str, Member] = {own.name: own}
         self.view_by_watcher: dict[str, WatcherView] = {}
         self.report_ms_by_name: dict[str, float] = {}
-        self.versions_by_name: dict[str, dict[str, int]] = {}
+        self.versions_by_name: dict[str, dict[str, StoreVersion]] = {}
         self.draining: set[str] = set()
         self._told_draining: set[str] = set()
         self.store = StoreOutageDetector()
@@ -108,7 +109,7 @@
         *,
         is_draining: bool,
         now_ms: float,
-        version_by_topic: dict[str, int] | None = None,
+        version_by_topic: dict[str, StoreVersion] | None = None,
     ) -> None:
         """Record a subscriber's report and the topic versions that changed, if any."""
         self.report_ms_by_name[name] = now_ms
@@ -195,7 +196,7 @@
         return [
             name
             for name in self.own_subscribers(now_ms)
-            if self.versions_by_name.get(name, {}).get(CONFIGURATION_TOPIC) == 0
+            if self.versions_by_name.get(name, {}).get(CONFIGURATION_TOPIC) == NO_VERSION
         ]
 
     def starting(self, now_ms: float) -> set[str]:
--- a/packages/cassiahaven-core/cassiahaven_core/peer_message.py
+++ b/packages/cassiahaven-core/cassiahaven_core/peer_message.py
@@ -12,6 +12,7 @@
 from cassiahaven_core.outcome import NotRun, Outcome, Ran, Unknown
 from cassiahaven_core.reason import RefusalReason, UnknownReason
 from cassiahaven_core.steering import EntryAddress
+from cassiahaven_core.store_version import StoreVersion
 from cassiahaven_core.table import Row
 from cassiahaven_core.table_codec import row_from_plain, row_to_plain
 
@@ -63,12 +64,17 @@
 
 @dataclass(frozen=True, slots=True)
 class TableRows:
-    """The rows of a service that changed since ``base_revision``, 0 for all rows."""
+    """The rows of a service that changed since ``base_revision``, 0 for all rows.
+
+    Attributes:
+        era: Era of the store from which the rows are.
+    """
 
     service: str
     revision: int
     row_by_name: dict[str, Row]
     base_revision: int = 0
+    era: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -157,7 +163,7 @@
 
     name: str
     is_draining: bool
-    version_by_topic: dict[str, int] = field(default_factory=dict)
+    version_by_topic: dict[str, StoreVersion] = field(default_factory=dict)
 
 
 @dataclass(frozen=True, slots=True)
@@ -181,7 +187,7 @@
     live: list[str]
     draining: list[str]
     store_age_ms: float
-    version_by_topic: dict[str, int]
+    version_by_topic: dict[str, StoreVersion]
     sequence: int = 0
     starting: list[str] = field(default_factory=list)
 
@@ -202,7 +208,7 @@
     started_draining: list[str]
     stopped_draining: list[str]
     store_age_ms: float
-    version_by_topic: dict[str, int]
+    version_by_topic: dict[str, StoreVersion]
     starting: list[str] = field(default_factory=list)
     started: list[str] = field(default_factory=list)
 
@@ -243,12 +249,12 @@
 
     Attributes:
         topic: Name of the topic.
-        revision: Revision that the sender has; later changes suffice. 0 requests a snapshot.
+        version: Version that the sender has; later changes suffice. 0 requests a snapshot.
         digest: Digest of the items that the sender has, 0 without any.
     """
 
     topic: str
-    revision: int
+    version: StoreVersion
     digest: int = 0
 
 
@@ -262,7 +268,7 @@
     """
 
     topic: str
-    revision: int
+    version: StoreVersion
     is_whole: bool
     plain_by_name: dict[str, Any]
 
@@ -332,6 +338,7 @@
     WatcherReportChange: 3,
     StateRequest: 4,
 }
+_VERSIONS_POSITION_BY_CLASS = {MemberReport: 2, WatcherReport: 3, WatcherReportChange: 6}
 _CLASS_BY_NUMBER = {number: item for item, number in _NUMBER_BY_CLASS.items()}
 
 
@@ -356,10 +363,17 @@
             values[0] = [[getattr(item, part.name) for part in fields(item)] for item in notices]
         case KeyReply(reply=reply):
             values[1] = _reply_to_plain(reply)
+        case MemberReport(version_by_topic=versions):
+            values[2] = _versions_to_plain(versions)
+        case WatcherReport(version_by_topic=versions):
+            values[3] = _versions_to_plain(versions)
+        case StateRequest(version=version) | StateNews(version=version):
+            values[1] = StoreVersion.of(version).to_plain()
         case WatcherPulse(store_age_ms=store_age_ms):
             values[0] = round(store_age_ms)  # at most 5 bytes in place of 9
-        case WatcherReportChange(store_age_ms=store_age_ms):
+        case WatcherReportChange(store_age_ms=store_age_ms, version_by_topic=versions):
             values[5] = round(store_age_ms)
+            values[6] = _versions_to_plain(versions)
     kind = type(message)
     data = cbor2.dumps([_NUMBER_BY_CLASS.get(kind, kind.__name__), *values])
     if len(data) < LEAST_COMPRESSED_BYTES:
@@ -392,6 +406,13 @@
             case "KeyReply":
                 values[1] = _reply_from_plain(values[1])
         kind = _CLASS_BY_NUMBER[tag] if isinstance(tag, int) else _CLASS_BY_TAG[tag]
+        position = _VERSIONS_POSITION_BY_CLASS.get(kind)
+        if position is not None:
+            values[position] = {
+                topic: StoreVersion.of(plain) for topic, plain in values[position].items()
+            }
+        elif kind in (StateRequest, StateNews):
+            values[1] = StoreVersion.of(values[1])
         return kind(*values)
     except (
         zlib.error,
@@ -404,6 +425,10 @@
         raise MalformedMessage(f"{type(error).__name__}: {error}") from None
 
 
+def _versions_to_plain(versions: dict[str, StoreVersion]) -> dict[str, int | list[int]]:
+    return {topic: StoreVersion.of(version).to_plain() for topic, version in versions.items()}
+
+
 def outcome_to_plain(outcome: Outcome) -> list[Any]:
     """Return ``outcome`` as a list that starts with its kind."""
     match outcome:
--- a/packages/cassiahaven-core/cassiahaven_core/registry.py
+++ b/packages/cassiahaven-core/cassiahaven_core/registry.py
@@ -35,36 +35,57 @@
     to register again: most are alive, and dropping all at once would leave none to serve calls.
     """
 
-    __slots__ = ("registration_by_endpoint", "_lapsed")
+    __slots__ = ("registration_by_endpoint", "_listed", "_lapsed")
 
     def __init__(self) -> None:
         self.registration_by_endpoint: dict[str, Registration] = {}
+        self._listed: dict[str, Registration] = {}
         self._lapsed: set[str] = set()
 
     @property
     def kept_endpoints(self) -> frozenset[str]:
-        """Return the endpoints that are in use although the store no longer lists them."""
+        """Return the endpoints in use that the store no longer lists, or as they were before."""
         return frozenset(self._lapsed)
 
     def replace(
-        self, registration_by_endpoint: dict[str, Registration], *, may_have_expired: bool
+        self,
+        registration_by_endpoint: dict[str, Registration],
+        *,
+        may_have_expired: bool,
+        is_restored: bool = False,
     ) -> None:
         """Replace the registrations with the store's list.
 
         Args:
             registration_by_endpoint: All registrations that the store lists.
             may_have_expired: Whether missing registrations may have expired in a store outage.
+            is_restored: Whether the list may be older than the registrations in use.
         """
         in_use = self.registration_by_endpoint
-        missing = in_use.keys() - registration_by_endpoint.keys()
-        self._lapsed = missing if may_have_expired else set()
+        self._listed = registration_by_endpoint
+        self._lapsed = set()
+        if may_have_expired:
+            self._lapsed |= in_use.keys() - registration_by_endpoint.keys()
+        if is_restored:
+            self._lapsed |= {
+                name
+                for name, listed in registration_by_endpoint.items()
+                if name in in_use and _is_older(listed, in_use[name])
+            }
         kept = {name: in_use[name] for name in self._lapsed}
         self.registration_by_endpoint = registration_by_endpoint | kept
 
     def drop_expired(self) -> bool:
-        """Drop the endpoints that are no longer listed; return whether there were any."""
-        for name in self._lapsed:
-            del self.registration_by_endpoint[name]
+        """Return to the store's list; return whether other registrations were in use."""
         had_any = bool(self._lapsed)
+        if had_any:
+            self.registration_by_endpoint = dict(self._listed)
         self._lapsed = set()
         return had_any
+
+
+def _is_older(listed: Registration, known: Registration) -> bool:
+    """Return whether ``listed`` is an earlier start, or the same one before it drained."""
+    if listed.born_ms != known.born_ms:
+        return listed.born_ms < known.born_ms
+    return known.is_draining and not listed.is_draining
--- a/packages/cassiahaven-core/cassiahaven_core/store_outage.py
+++ b/packages/cassiahaven-core/cassiahaven_core/store_outage.py
@@ -13,12 +13,13 @@
     as down if neither this entry nor any watcher that it follows gets an answer.
     """
 
-    __slots__ = ("_last_answer_ms", "_unanswered_since_ms", "_recovered_ms")
+    __slots__ = ("_last_answer_ms", "_unanswered_since_ms", "_recovered_ms", "_restored_ms")
 
     def __init__(self) -> None:
         self._last_answer_ms = float("-inf")
         self._unanswered_since_ms: float | None = None
         self._recovered_ms = float("-inf")
+        self._restored_ms = float("-inf")
 
     def record_request(self, at_ms: float) -> None:
         """Record a request to the store that has not been answered yet."""
@@ -36,6 +37,14 @@
             self._recovered_ms = at_ms
         self._unanswered_since_ms = None
 
+    def record_restore(self, at_ms: float) -> None:
+        """Record that the store was found to be restored from a copy."""
+        self._restored_ms = at_ms
+
+    def is_restored(self, now_ms: float) -> bool:
+        """Return whether the store was restored and endpoints may not have registered again."""
+        return now_ms - self._restored_ms < REREGISTRATION_MS
+
     def is_store_down(self, now_ms: float) -> bool:
         """Return whether requests went unanswered for at least ``MIN_OUTAGE_MS``."""
         if self._unanswered_since_ms is None:
@@ -43,5 +52,6 @@
         return now_ms - self._unanswered_since_ms >= MIN_OUTAGE_MS
 
     def may_have_expired(self, now_ms: float) -> bool:
-        """Return whether registrations of live endpoints may have expired in an outage."""
-        return self.is_store_down(now_ms) or now_ms - self._recovered_ms < REREGISTRATION_MS
+        """Return whether registrations of live endpoints may be missing after an outage."""
+        is_recovered = now_ms - self._recovered_ms < REREGISTRATION_MS
+        return self.is_store_down(now_ms) or is_recovered or self.is_restored(now_ms)
--- a/packages/cassiahaven-core/cassiahaven_core/table.py
+++ b/packages/cassiahaven-core/cassiahaven_core/table.py
@@ -138,37 +138,70 @@
         revision: Highest revision merged so far; 0 for an empty table.
         row_by_name: Every row ever seen, including removed ones.
         history: Latest accepted edits, oldest first; only the store's copy is complete.
+        era: Era of the store from which the rows are.
+        lost_row_by_name: Rows that a restore of the store undid and nobody has written since.
     """
 
     service: str
     revision: int = 0
     row_by_name: dict[str, Row] = field(default_factory=dict)
     history: list[HistoryEntry] = field(default_factory=list)
+    era: int = 0
+    lost_row_by_name: dict[str, Row] = field(default_factory=dict)
 
     def merge(
-        self, revision: int, rows: Iterable[tuple[str, Row]], *, base_revision: int = 0
+        self,
+        revision: int,
+        rows: Iterable[tuple[str, Row]],
+        *,
+        base_revision: int = 0,
+        era: int = 0,
     ) -> list[str]:
         """Merge rows from the store or a peer, keeping the highest version of each.
 
+        Rows of a later era replace all rows, as a restored store issues versions again.
+
         Args:
             revision: Revision of the source.
             rows: Names and rows of the source.
             base_revision: Revision since which ``rows`` holds all changes, 0 for all rows. The
                 table advances to ``revision`` only if it has reached this one.
+            era: Era of the source.
 
         Returns:
             Names of the rows that changed.
         """
+        if era > self.era and not base_revision:
+            return self._restore(revision, dict(rows), era)
+        if era != self.era:
+            return []
         changed = []
         for name, row in rows:
             known = self.row_by_name.get(name)
             if known is None or row.version > known.version:
                 self.row_by_name[name] = row
+                self.lost_row_by_name.pop(name, None)
                 changed.append(name)
         if self._has(base_revision):
             self.revision = max(self.revision, revision)
         return changed
 
+    def _restore(self, revision: int, row_by_name: dict[str, Row], era: int) -> list[str]:
+        """Take the rows of a restored store; return the names of the rows that changed."""
+        before = self.row_by_name
+        lost = self.lost_row_by_name | {
+            name: row for name, row in before.items() if _is_undone(row, row_by_name.get(name))
+        }
+        self.lost_row_by_name = {
+            name: row for name, row in lost.items() if _is_undone(row, row_by_name.get(name))
+        }
+        self.row_by_name = row_by_name
+        self.revision = revision
+        self.history = []
+        self.era = era
+        names = before.keys() | row_by_name.keys()
+        return sorted(name for name in names if before.get(name) != row_by_name.get(name))
+
     def _has(self, revision: int) -> bool:
         return self.revision >= revision
 
@@ -226,3 +259,10 @@
             if value is not None:
                 return EffectiveField(value, str(key))
         return EffectiveField(getattr(BUILT_IN_DEFAULTS, name), BUILT_IN_ROW)
+
+
+def _is_undone(row: Row, restored: Row | None) -> bool:
+    """Return whether a restored store has an older row than ``row``, or another in its place."""
+    if restored is None or restored.version < row.version:
+        return True
+    return restored.version == row.version and restored.edit_id != row.edit_id
--- a/packages/cassiahaven-core/tests/test_fleet.py
+++ b/packages/cassiahaven-core/tests/test_fleet.py
@@ -9,6 +9,7 @@
 from cassiahaven_core.fleet_state import KEPT_CHANGES, TopicState, item_to_plain, plain_to_item
 from cassiahaven_core.membership import REPORT_TIMEOUT_MS, Fleet, Member
 from cassiahaven_core.registry import EndpointRegistry, Registration
+from cassiahaven_core.store_version import NO_VERSION
 
 
 def registration(name, *, born_ms=1, draining=False):
@@ -145,8 +146,8 @@
         item = registration(name, born_ms=revision) if is_there else None
         source.change({name: item}, revision)
         if data.draw(st.booleans()):
-            changed = source.changed_since(copy.revision)
-            copy.change(changed, source.revision)
+            changed = source.changed_since(copy.version)
+            copy.change(changed, source.version)
             assert copy.item_by_name == source.item_by_name
 
 
@@ -175,7 +176,7 @@
 
 def test_directory_names_entries_that_have_a_configuration(fleet):
     """Guards against lookups without an answer, or with entries that cannot serve yet."""
-    versions = {"configuration": 0}
+    versions = {"configuration": NO_VERSION}
     fleet.record_report("a2", is_draining=False, now_ms=0.0, version_by_topic=versions)
     assert fleet.own_starting(1.0) == ["a2"]
     fleet.record_watcher_report(
--- a/packages/cassiahaven-core/tests/test_table.py
+++ b/packages/cassiahaven-core/tests/test_table.py
@@ -76,3 +76,20 @@
     table.apply(Edit("3", "*/*", 1, None))
     assert table_from_plain(table_to_plain(table)) == table
     assert table.drained_endpoints() == {"e1"}
+
+
+def test_rows_of_a_restored_store_replace_later_ones_and_the_lost_ones_are_named():
+    """Guards against a lost edit that stays in force, or hides a new one of the same version."""
+    table = ServiceTable("lookup")
+    kept, old, lost, gone = (Row(n, f"edit-{n}", CellValue(weight=n)) for n in (1, 2, 3, 4))
+    table.merge(3, [("*/*", kept), ("a/*", lost)])
+    table.merge(4, [("b/*", gone)], base_revision=3)
+    assert table.merge(9, [("b/*", old)], base_revision=8, era=1) == []
+    assert table.merge(2, [("*/*", kept), ("a/*", old)], era=1) == ["a/*", "b/*"]
+    assert table.row_by_name == {"*/*": kept, "a/*": old}
+    assert table.lost_row_by_name == {"a/*": lost, "b/*": gone}
+    assert table.merge(7, [("b/*", gone)]) == []
+    again = Row(3, "edit-5", CellValue(weight=5.0))
+    assert table.merge(3, [("a/*", again)], era=1) == ["a/*"]
+    assert table.row_by_name["a/*"] == again
+    assert table.lost_row_by_name == {"b/*": gone}
--- a/packages/cassiahaven-core/tests/test_watcher_report.py
+++ b/packages/cassiahaven-core/tests/test_watcher_report.py
@@ -14,6 +14,7 @@
     decode,
     encode,
 )
+from cassiahaven_core.store_version import StoreVersion
 from cassiahaven_core.watcher_report import ReportPublisher, ReportReplica
 
 NAMES = st.lists(st.sampled_from("abcdef"), unique=True)
@@ -23,7 +24,10 @@
     draining=NAMES,
     starting=NAMES,
     store_age_ms=st.just(0.0),
-    version_by_topic=st.dictionaries(st.sampled_from(["endpoints", "tables"]), st.integers(1, 3)),
+    version_by_topic=st.dictionaries(
+        st.sampled_from(["endpoints", "tables"]),
+        st.builds(StoreVersion, st.integers(0, 1), st.integers(1, 3)),
+    ),
 )
 FATES = st.sampled_from(["arrives", "lost", "late", "watcher restarts"])
 
--- a/packages/cassiahaven-entry/cassiahaven_entry/fleet_links.py
+++ b/packages/cassiahaven-entry/cassiahaven_entry/fleet_links.py
@@ -22,6 +22,7 @@
     WatcherReportChange,
     encode_once,
 )
+from cassiahaven_core.store_version import StoreVersion
 from cassiahaven_core.watcher_report import ReportMessage, ReportPublisher, ReportReplica
 from cassiahaven_entry.clock import MS_PER_S, now_ms
 from cassiahaven_entry.event import LogEvent, log
@@ -70,7 +71,7 @@
         self,
         *,
         report: Callable[[], WatcherReport],
-        versions: Callable[[], dict[str, int]],
+        versions: Callable[[], dict[str, StoreVersion]],
         state_request: Callable[[str], StateRequest],
         state_update: Callable[[StateRequest], StateNews],
         on_state_update: Callable[[StateNews, str], None],
@@ -145,7 +146,7 @@
         self._has_near_link = has_near_link
         self._replica = ReportReplica()
         self._report_requested_ms = float("-inf")
-        self._reported: tuple[bool, dict[str, int]] | None = None
+        self._reported: tuple[bool, dict[str, StoreVersion]] | None = None
 
     @property
     def is_connected(self) -> bool:
@@ -264,7 +265,7 @@
         self._is_report_due = False
         self._waiting_notices: dict[tuple[str, str], RateLimitNotice] = {}
         self._request_pacer = StateRequestPacer()
-        self._encoded_replies: dict[tuple[StateRequest, int], Encoded] = {}
+        self._encoded_replies: dict[tuple[StateRequest, StoreVersion], Encoded] = {}
         host, _, port = fleet.own.peers.rpartition(":")
         self._server = PeerServer(
             host,
--- a/packages/cassiahaven-entry/cassiahaven_entry/fleet_view.py
+++ b/packages/cassiahaven-entry/cassiahaven_entry/fleet_view.py
@@ -1,6 +1,7 @@
 """Local replica of the fleet's state, fed by the store and by watchers."""
 
 from collections.abc import Callable, Collection
+from dataclasses import replace
 
 import cbor2
 
@@ -18,6 +19,7 @@
 from cassiahaven_core.peer_message import StateNews, StateRequest
 from cassiahaven_core.registry import EndpointRegistry, Registration
 from cassiahaven_core.route import GatewayConfig, RoutingTable
+from cassiahaven_core.store_version import NO_VERSION, StoreVersion
 from cassiahaven_core.table import ServiceTable
 from cassiahaven_entry.clock import now_ms
 from cassiahaven_entry.event import LogEvent, log
@@ -45,6 +47,7 @@
         on_endpoints: Called when endpoints changed.
         on_members: Called when members changed.
         on_table: Called with each changed table and the source of the change.
+        on_restored: Called with the era once the tables of a restored store are known.
     """
 
     def __init__(
@@ -56,7 +59,9 @@
         on_endpoints: Callable[[Collection[Registration]], None],
         on_members: Callable[[], None],
         on_table: Callable[[ServiceTable, str], None],
+        on_restored: Callable[[int, str], None] = lambda era, source: None,
     ) -> None:
+        self.era = 0
         self.registry = EndpointRegistry()
         self._fleet = fleet
         self._routing = routing
@@ -74,6 +79,7 @@
         self._on_endpoints = on_endpoints
         self._on_members = on_members
         self._on_table = on_table
+        self._on_restored = on_restored
         self._kept: frozenset[str] = frozenset()
 
     @property
@@ -84,37 +90,49 @@
     @property
     def has_members(self) -> bool:
         """Return whether the member list has been received."""
-        return bool(self._members.revision)
+        return self._members.version != NO_VERSION
 
-    def versions(self) -> dict[str, int]:
+    @property
+    def members_era(self) -> int:
+        """Return the era of the store in which the members are known."""
+        return self._members.version.era
+
+    def is_registered(self, member: Member) -> bool:
+        """Return whether the store lists this process of ``member``."""
+        listed = self._members.item_by_name.get(member.name)
+        return isinstance(listed, Member) and listed.process == member.process
+
+    def versions(self) -> dict[str, StoreVersion]:
         """Return the local version of each topic, by topic name."""
         return {
-            Topic.CONFIGURATION.value: self._routing.version,
-            Topic.ENDPOINTS.value: self._endpoints.revision,
-            Topic.MEMBERS.value: self._members.revision,
-            Topic.TABLES.value: self._tables.revision,
+            # The operators number their configurations, also over restores of the store.
+            Topic.CONFIGURATION.value: StoreVersion(0, self._routing.version),
+            Topic.ENDPOINTS.value: self._endpoints.version,
+            Topic.MEMBERS.value: self._members.version,
+            Topic.TABLES.value: self._tables.version,
         }
 
     def state_request(self, topic: str) -> StateRequest:
         """Return the request for what changed in ``topic`` since the local version."""
         if topic == Topic.CONFIGURATION.value:
-            return StateRequest(topic, 0 if self._needs_whole_config else self._routing.version)
+            version = 0 if self._needs_whole_config else self._routing.version
+            return StateRequest(topic, StoreVersion(0, version))
         state = self._state_by_topic[topic]
-        return StateRequest(topic, state.revision, state.digest)
+        return StateRequest(topic, state.version, state.digest)
 
     def state_update(self, request: StateRequest) -> StateNews:
-        """Return the changes since the revision in ``request``, or the full state."""
+        """Return the changes since the version in ``request``, or the full state."""
         topic = request.topic
         if topic == Topic.CONFIGURATION.value:
-            return self._config_update(request.revision)
+            return self._config_update(StoreVersion.of(request.version).revision)
         state = self._state_by_topic[topic]
-        changed = state.changed_since(request.revision, request.digest)
+        changed = state.changed_since(request.version, request.digest)
         if changed is None:
             return self._full_state(topic, state)
         plain = {
             name: None if item is None else item_to_plain(item) for name, item in changed.items()
         }
-        return StateNews(topic, state.revision, False, plain)
+        return StateNews(topic, state.version, False, plain)
 
     def apply_update(self, state_update: StateNews, peer: str) -> None:
         """Apply a state update from the watcher ``peer``."""
@@ -129,7 +147,7 @@
         self._apply(
             Topic(state_update.topic),
             items,
-            state_update.revision,
+            StoreVersion.of(state_update.version),
             FROM_PEER,
             peer,
             is_whole=state_update.is_whole,
@@ -140,6 +158,7 @@
         if topic is Topic.CONFIGURATION:
             for change in changes.changes:
                 if isinstance(change.item, GatewayConfig):
+                    self._report_older_config(change.item, changes.version)
                     self._activate(change.item, FROM_STORE)
             return
         state = self._state_by_topic[topic.value]
@@ -147,8 +166,8 @@
         if changes.is_whole:
             items = dict.fromkeys(state.item_by_name) | items
         revision_by_name = {change.name: change.revision for change in changes.changes}
-        revision = state.revision_of(items, revision_by_name, changes.revision)
-        self._apply(topic, items, revision, FROM_STORE, is_whole=changes.is_whole)
+        version = state.version_of(items, revision_by_name, changes.version)
+        self._apply(topic, items, version, FROM_STORE, is_whole=changes.is_whole)
 
     def expire(self) -> None:
         """Drop endpoints that did not register again after a store outage."""
@@ -157,7 +176,7 @@
 
     def _full_state(self, topic: str, state: TopicState) -> StateNews:
         plain = {name: item_to_plain(item) for name, item in state.item_by_name.items()}
-        return StateNews(topic, state.revision, True, plain)
+        return StateNews(topic, state.version, True, plain)
 
     def _activate(self, config: GatewayConfig, source: str) -> None:
         if config.version > self._routing.version:
@@ -184,13 +203,13 @@
         self._on_config(config)
 
     def _config_update(self, base: int) -> StateNews:
-        topic, version = Topic.CONFIGURATION.value, self._routing.version
+        topic, version = Topic.CONFIGURATION.value, StoreVersion(0, self._routing.version)
         config = self._routing.config
         if config is None:
             return StateNews(topic, version, True, {})
         plain = cbor2.loads(cbor2.dumps(config_to_plain(config)))
         known = self._config_by_version.get(base)
-        if known is None or base == version:
+        if known is None or base == version.revision:
             return StateNews(topic, version, True, {"": plain})
         parts = {
             BASE: base,
@@ -221,6 +240,15 @@
             return
         self._activate(config_from_plain(plain), FROM_PEER)
 
+    def _report_older_config(self, config: GatewayConfig, version: StoreVersion) -> None:
+        if config.version < self._routing.version:
+            log(
+                LogEvent.CONFIGURATION_OLDER,
+                version=config.version,
+                in_force=self._routing.version,
+                era=version.era,
+            )
+
     def _keep_config(self) -> None:
         """Keep the configuration in force as the base of the next change."""
         config = self._routing.config
@@ -234,35 +262,63 @@
         self,
         topic: Topic,
         items: dict[str, Item | None],
-        revision: int,
+        version: StoreVersion,
         source: str,
         peer: str = "",
         *,
         is_whole: bool,
     ) -> None:
         # Pass the store's items on unchanged; each entry decides which endpoints stay in use.
+        if version.era > self.era:
+            self._enter_era(version.era, source, peer)
         state = self._state_by_topic[topic.value]
-        if not _update(state, items, revision, is_whole=is_whole):
+        before = state.version
+        is_changed = _update(state, items, version, is_whole=is_whole)
+        if topic is Topic.TABLES:
+            self._notify_tables(items, before, source)
+        if not is_changed:
             return
         if topic is Topic.MEMBERS:
             self._fleet.set_members(state.item_by_name.values())
             self._on_members()
-        elif topic is Topic.TABLES:
-            for table in items.values():
-                if table is not None:
-                    self._on_table(table, source)
         elif topic is Topic.ENDPOINTS:
-            may_have_expired = self._fleet.store.may_have_expired(now_ms())
-            self.registry.replace(state.item_by_name, may_have_expired=may_have_expired)
+            outages = self._fleet.store
+            self.registry.replace(
+                state.item_by_name,
+                may_have_expired=outages.may_have_expired(now_ms()),
+                is_restored=outages.is_restored(now_ms()),
+            )
             self._notify_endpoints(source, peer)
 
+    def _enter_era(self, era: int, source: str, peer: str) -> None:
+        is_first = max(state.version for state in self._state_by_topic.values()) == NO_VERSION
+        before, self.era = self.era, era
+        if is_first:
+            return
+        log(LogEvent.STORE_RESTORED, era=era, before=before, source=source, peer=peer)
+        self._fleet.store.record_restore(now_ms())
+
+    def _notify_tables(
+        self, items: dict[str, Item | None], before: StoreVersion, source: str
+    ) -> None:
+        version = self._tables.version
+        if version == before:
+            return
+        is_restored = version.era > before.era
+        for table in (self._tables.item_by_name if is_restored else items).values():
+            if isinstance(table, ServiceTable):
+                self._on_table(replace(table, era=version.era), source)
+        if is_restored:
+            self._on_restored(version.era, source)
+
     def _notify_endpoints(self, source: str, peer: str = "") -> None:
         current = self.registry.registration_by_endpoint
-        revision = self._endpoints.revision
+        revision = self._endpoints.version.revision
         self._log_kept(revision, source, peer)
         log(
             LogEvent.ENDPOINTS_CHANGED,
             revision=revision,
+            era=self._endpoints.version.era,
             endpoints=len(current),
             draining=sum(item.is_draining for item in current.values()),
             kept=len(self._kept),
@@ -287,8 +343,8 @@
 
 
 def _update(
-    state: TopicState, items: dict[str, Item | None], revision: int, *, is_whole: bool
+    state: TopicState, items: dict[str, Item | None], version: StoreVersion, *, is_whole: bool
 ) -> bool:
     if not is_whole:
-        return state.change(items, revision)
-    return state.replace({name: item for name, item in items.items() if item is not None}, revision)
+        return state.change(items, version)
+    return state.replace({name: item for name, item in items.items() if item is not None}, version)
--- a/packages/cassiahaven-entry/cassiahaven_entry/routed_node.py
+++ b/packages/cassiahaven-entry/cassiahaven_entry/routed_node.py
@@ -113,6 +113,7 @@
             on_endpoints=self._on_endpoints,
             on_members=self._on_members,
             on_table=self._apply_table,
+            on_restored=self._on_store_restored,
         )
         self.metrics.rate_limited_endpoints.set_function(
             lambda: sum(
@@ -335,7 +336,14 @@
 
     def _apply_table(self, table: ServiceTable, source: str) -> None:
         self.tables.add_service(table.service)
-        self.tables.merge_rows(TableRows(table.service, table.revision, table.row_by_name), source)
+        rows = TableRows(table.service, table.revision, table.row_by_name, era=table.era)
+        self.tables.merge_rows(rows, source)
+
+    def _on_store_restored(self, era: int, source: str) -> None:
+        # The store may have lost whole tables, which it then no longer lists.
+        for service, table in self.tables.table_by_service.items():
+            if table.era < era:
+                self.tables.merge_rows(TableRows(service, 0, {}, era=era), source)
 
     def _on_table(self, table: ServiceTable) -> None:
         task = self._task_by_service.get(table.service)
@@ -418,15 +426,18 @@
             task.apply_rate_limit_notice(notice)
 
     def _register(self) -> None:
+        """Register, and again whenever the store was restored to a state without this process."""
         while True:
             try:
                 self.store.register(self.member)
             except StoreUnavailable as error:
                 self.feed.record_availability(False, f"registration: {error}")
                 eventlet.sleep(REGISTER_RETRY_MS / MS_PER_S)
-            else:
-                self.feed.record_availability(True)
-                return
+                continue
+            self.feed.record_availability(True)
+            era = self.store.era
+            while self.view.members_era <= era or self.view.is_registered(self.member):
+                eventlet.sleep(HOUSEKEEPING_INTERVAL_MS / MS_PER_S)
 
     def _run_housekeeping(self) -> None:
         while True:
--- a/packages/cassiahaven-entry/cassiahaven_entry/routed_operators.py
+++ b/packages/cassiahaven-entry/cassiahaven_entry/routed_operators.py
@@ -9,6 +9,7 @@
 from cassiahaven_core.edge import CallResponse, Topic
 from cassiahaven_core.explanation import Explanation
 from cassiahaven_core.route import RouteRule
+from cassiahaven_core.store_version import NO_VERSION, StoreVersion
 from cassiahaven_core.table_codec import row_to_plain
 from cassiahaven_entry.caller_dialect import Environ
 from cassiahaven_entry.operator_api_base import (
@@ -82,10 +83,10 @@
             "missing": missing,
         }
 
-    def _versions(self, topic: Topic) -> dict[str, int]:
+    def _versions(self, topic: Topic) -> dict[str, StoreVersion]:
         versions = {self._node.settings.name: self._node.view.versions()[topic.value]}
         for name, reported in self._node.fleet.versions_by_name.items():
-            versions[name] = reported.get(topic.value, 0)
+            versions[name] = reported.get(topic.value, NO_VERSION)
         return versions
 
     def _effective(self, service: str, zone: str, partner: str) -> dict[str, Any]:
@@ -116,6 +117,7 @@
         return {
             "entry": node.settings.name,
             "store_available": node.feed.is_available,
+            "store_era": node.view.era,
             "entries": sorted(entries, key=lambda item: item["name"]),
             "unreachable": sorted(node.fleet.member_by_name.keys() - live),
             "configuration": self._configuration_status(),
@@ -138,7 +140,11 @@
     def _service_status(self, service: str) -> dict[str, Any]:
         task = self._node.task(service)
         return {
-            "revision_by_entry": self._versions(Topic.CONFIGURATION),
+            "revision_by_entry": {
+                name: version.revision
+                for name, version in self._versions(Topic.CONFIGURATION).items()
+            },
+            "lost_rows": sorted(self._node.tables.table_by_service[service].lost_row_by_name),
             "active": sorted(self._node.serving_entry_names()),
             "standby": [],
             "demand_per_s": round(task.demand_per_s, 1),
--- a/packages/cassiahaven-entry/cassiahaven_entry/store_feed.py
+++ b/packages/cassiahaven-entry/cassiahaven_entry/store_feed.py
@@ -16,6 +16,7 @@
     WatchUnanswered,
 )
 from cassiahaven_core.store_outage import StoreOutageDetector
+from cassiahaven_core.store_version import StoreVersion
 from cassiahaven_entry.clock import MS_PER_S, now_ms
 from cassiahaven_entry.event import LogEvent, log
 
@@ -58,6 +59,7 @@
     ) -> None:
         self.seen_ms = float("-inf")
         self.is_available = True
+        self._era = store.era
         self._store = store
         self._is_wanted = is_wanted
         self._on_changes = on_changes
@@ -72,10 +74,10 @@
 
     def follow(self, topic: Topic) -> None:
         """Read ``topic``, then watch it, until the process ends."""
-        revision: int | None = None
+        version: StoreVersion | None = None
         while True:
             if not self._is_wanted(topic):
-                revision = None
+                version = None
                 idle_ms = START_INTERVAL_MS if self._is_starting() else IDLE_INTERVAL_MS
                 eventlet.sleep(idle_ms / MS_PER_S)
                 continue
@@ -83,6 +85,9 @@
                 # ``check`` detects the store's recovery for all topics with one cheap request.
                 eventlet.sleep(IDLE_INTERVAL_MS / MS_PER_S)
                 continue
+            if version is not None and version.era != self._store.era:
+                version = None
+            revision = None if version is None else version.revision
             try:
                 changes = self._next(topic, revision)
             except WatchRestarted:
@@ -92,13 +97,18 @@
                 continue
             except HistoryGone:
                 log(LogEvent.STORE_HISTORY_GONE, topic=topic.value, revision=revision)
-                revision = None
+                version = None
                 continue
             except StoreUnavailable as error:
                 self.record_availability(False, f"{topic.value}: {error}")
                 continue
             self.record_availability(True)
-            revision = changes.revision
+            if version is not None and changes.era != version.era:
+                # The revision was issued again: what changed before it is unknown.
+                log(LogEvent.STORE_HISTORY_GONE, topic=topic.value, revision=revision)
+                version = None
+                continue
+            version = changes.version
             self._report_findings(topic, changes.changes)
             self._on_changes(topic, changes)
             if not changes.is_whole:
@@ -132,6 +142,9 @@
         if is_available:
             self.seen_ms = now_ms()
             self._contact.record_answer(self.seen_ms)
+            if self._store.era > self._era:
+                self._era = self._store.era
+                self._restart_watches()
         else:
             self._contact.record_request(now_ms())
         if is_available == self.is_available:
--- a/packages/cassiahaven-entry/cassiahaven_entry/tables.py
+++ b/packages/cassiahaven-entry/cassiahaven_entry/tables.py
@@ -17,6 +17,7 @@
 WATCH_WAIT_MS = 5000
 STORE_RETRY_DELAY_MS = 300.0
 EDIT_TIMEOUT_MS = 4000.0
+MAX_LISTED_ROWS = 20  # names in one log line
 
 
 @dataclass(frozen=True, slots=True)
@@ -63,7 +64,7 @@
     def rows(self, service: str) -> TableRows:
         """Return all rows of ``service`` as a message."""
         table = self.table_by_service.get(service) or ServiceTable(service)
-        return TableRows(service, table.revision, dict(table.row_by_name))
+        return TableRows(service, table.revision, dict(table.row_by_name), era=table.era)
 
     def merge_rows(self, message: TableRows, source: str) -> None:
         """Merge rows from a peer or the store."""
@@ -71,11 +72,16 @@
         if table is None:
             return
         before = table.revision
+        lost = set(table.lost_row_by_name)
         changed = table.merge(
-            message.revision, message.row_by_name.items(), base_revision=message.base_revision
+            message.revision,
+            message.row_by_name.items(),
+            base_revision=message.base_revision,
+            era=message.era,
         )
         if table.revision != before:
             self.digest = revision_digest(self.revision_by_service)
+        self._report_lost_rows(table, set(table.lost_row_by_name) - lost, source)
         if not changed:
             return
         log(
@@ -87,6 +93,17 @@
         )
         self._on_change(table)
 
+    def _report_lost_rows(self, table: ServiceTable, lost: set[str], source: str) -> None:
+        if lost:
+            log(
+                LogEvent.TABLE_ROWS_LOST,
+                service=table.service,
+                rows=sorted(lost)[:MAX_LISTED_ROWS],
+                lost=len(lost),
+                era=table.era,
+                source=source,
+            )
+
     def edit(self, service: str, edit: Edit) -> Accepted | Conflict | EditUndecided:
         """Write ``edit`` to the store, then apply it locally and publish it to all peers.
 
@@ -126,6 +143,9 @@
             return result, table
         value = json.dumps(table_to_plain(table)).encode()
         written = self._store.put(TABLE_PREFIX + service, value, version=version)
+        if self._store.era != table.era:
+            # The table was read before a restore; reading it back shows what was written.
+            return None, table
         return (result if written is not None else None), table
 
     def _read(self, service: str) -> tuple[ServiceTable, int]:
@@ -134,9 +154,11 @@
             stored_table, version = ServiceTable(service), 0
         else:
             stored_table, version = table_from_plain(json.loads(stored.value)), stored.version
-        # A store that lost data must not supersede newer rows that only the entries still hold.
+        stored_table.era = self._store.era
+        # A store that lost data must not supersede newer rows that only the entries still hold,
+        # unless it says that it was restored: then those rows are lost.
         known = self.table_by_service[service]
-        stored_table.merge(known.revision, known.row_by_name.items())
+        stored_table.merge(known.revision, known.row_by_name.items(), era=known.era)
         return stored_table, version
 
     def _report_edit(
@@ -144,12 +166,14 @@
     ) -> None:
         event = LogEvent.EDIT_ACCEPTED if isinstance(result, Accepted) else LogEvent.EDIT_CONFLICT
         log(event, service=service, row=edit.row, edit=edit.edit_id, revision=table.revision)
-        message = TableRows(service, table.revision, dict(table.row_by_name))
+        message = TableRows(service, table.revision, dict(table.row_by_name), era=table.era)
         self.merge_rows(message, "edit")
         row = table.row_by_name[edit.row]
         if isinstance(result, Accepted) and row.version == table.revision:
             # The edit is the newest change, so peers that are up to date need only its row.
-            message = TableRows(service, table.revision, {edit.row: row}, table.revision - 1)
+            message = TableRows(
+                service, table.revision, {edit.row: row}, table.revision - 1, table.era
+            )
         self._publish(message)
 
 
--- a/packages/cassiahaven-entry/tests/test_fleet_links.py
+++ b/packages/cassiahaven-entry/tests/test_fleet_links.py
@@ -18,6 +18,7 @@
     WatcherReportChange,
     decode,
 )
+from cassiahaven_core.store_version import StoreVersion
 from cassiahaven_core.watcher_report import ReportReplica
 from cassiahaven_entry.clock import now_ms
 from cassiahaven_entry.fleet_links import (
@@ -82,7 +83,7 @@
     assert state.written == 1
     [reply] = replies[0]
     assert isinstance(reply, Encoded)
-    assert decode(reply.data) == StateNews("configuration", 2, True, ROUTES)
+    assert decode(reply.data) == StateNews("configuration", StoreVersion(0, 2), True, ROUTES)
     state.version = 3
     links.receive("0", StateRequest("configuration", 1))
     assert state.written == 2
--- a/packages/cassiahaven-entry/tests/test_fleet_view.py
+++ b/packages/cassiahaven-entry/tests/test_fleet_view.py
@@ -12,6 +12,8 @@
 from cassiahaven_core.registry import Registration
 from cassiahaven_core.route import GatewayConfig, Route, RoutingTable, ServiceShare, ServiceSpec
 from cassiahaven_core.store_outage import MIN_OUTAGE_MS, REREGISTRATION_MS
+from cassiahaven_core.store_version import StoreVersion
+from cassiahaven_core.table import Row, ServiceTable
 from cassiahaven_entry.clock import now_ms
 from cassiahaven_entry.fleet_view import FleetView
 
@@ -131,7 +133,7 @@
         for view in view_by_name.values():
             told = view.state_update(StateRequest(ENDPOINTS, 0))
             assert told.is_whole
-            assert told.plain_by_name.keys() == listed_by_revision[told.revision]
+            assert told.plain_by_name.keys() == listed_by_revision[told.version.revision]
 
 
 def written(name, revision, **changes):
@@ -144,13 +146,13 @@
     view, _ = make_view("a1")
     cold = [written("e1", 2, cold_ms=9000.0)]
     view.apply_changes(Topic.ENDPOINTS, FleetChanges(3, cold, False))
-    assert view.versions()[ENDPOINTS] == 2
+    assert view.versions()[ENDPOINTS].revision == 2
     for revision, item in ((4, written("e1", 4, cold_ms=8500.0)), (5, written("e2", 5))):
         view.apply_changes(Topic.ENDPOINTS, FleetChanges(revision, [item], False))
-    assert view.versions()[ENDPOINTS] == 2
+    assert view.versions()[ENDPOINTS].revision == 2
     warm = [written("e1", 6, cold_ms=0.0)]
     view.apply_changes(Topic.ENDPOINTS, FleetChanges(7, warm, False))
-    assert view.versions()[ENDPOINTS] == 6
+    assert view.versions()[ENDPOINTS].revision == 6
 
 
 def test_two_watchers_name_a_change_alike_however_their_watches_return(make_view):
@@ -161,9 +163,9 @@
     for revision, change in zip((5, 8), changes, strict=True):
         second.apply_changes(Topic.ENDPOINTS, FleetChanges(revision, [change], False))
     listed = [*changes, written("e3", 0)]
-    assert first.versions()[ENDPOINTS] == second.versions()[ENDPOINTS] == 6
+    assert first.versions()[ENDPOINTS] == second.versions()[ENDPOINTS] == StoreVersion(0, 6)
     second.apply_changes(Topic.ENDPOINTS, FleetChanges(11, listed, True))
-    assert second.versions()[ENDPOINTS] == 11
+    assert second.versions()[ENDPOINTS].revision == 11
 
 
 def test_restarted_watcher_sends_nothing_to_subscribers_that_have_its_items(make_view):
@@ -183,7 +185,7 @@
     told = restarted.state_update(follower.state_request(ENDPOINTS))
     assert (told.is_whole, told.plain_by_name) == (False, {})
     follower.apply_update(told, "b1")
-    assert follower.versions()[ENDPOINTS] == 8
+    assert follower.versions()[ENDPOINTS].revision == 8
     assert restarted.state_update(StateRequest(ENDPOINTS, 3)).is_whole
 
 
@@ -227,3 +229,60 @@
         assert view._routing.version < 7
         view.apply_update(watcher.state_update(view.state_request(topic.value)), "a1")
         assert view._routing.config == config(7, 1.0, 5.0)
+
+
+def test_restored_list_replaces_a_newer_one_and_its_revisions_count_anew(make_view):
+    """Guards against a restored store whose lower revisions are taken for old news."""
+    (view, _), (follower, _) = make_view("a1"), make_view("a2")
+    view.apply_changes(Topic.ENDPOINTS, FleetChanges(9, [written("e3", 9)], False))
+    follower.apply_update(view.state_update(follower.state_request(ENDPOINTS)), "a1")
+    # A change of the new era cannot continue a list of the one before.
+    partial = StateNews(ENDPOINTS, StoreVersion(1, 10), False, {"e2": None})
+    follower.apply_update(partial, "b1")
+    assert follower.versions()[ENDPOINTS] == StoreVersion(0, 9)
+    view.apply_changes(Topic.ENDPOINTS, FleetChanges(4, [written("e1", 1)], True, 1))
+    follower.apply_update(view.state_update(follower.state_request(ENDPOINTS)), "a1")
+    late = StateNews(ENDPOINTS, StoreVersion(0, 12), False, {"e1": None})
+    for told in (view, follower):
+        told.apply_update(late, "b1")
+        assert told.versions()[ENDPOINTS] == StoreVersion(1, 4)
+        assert told.state_update(StateRequest(ENDPOINTS, 0)).plain_by_name.keys() == {"e1"}
+
+
+def test_endpoints_have_time_to_register_again_after_a_restore(make_view, clock):
+    """Guards against calls to an earlier start of an endpoint, and against none to live ones."""
+    view, _ = make_view("a1")
+    newer = [written("e1", 5, born_ms=2), written("e2", 6, is_draining=True), written("e3", 7)]
+    view.apply_changes(Topic.ENDPOINTS, FleetChanges(7, newer, False))
+    older = [FleetChange(name, registration(name)) for name in ("e1", "e2")]
+    view.apply_changes(Topic.ENDPOINTS, FleetChanges(2, older, True, 1))
+    in_use = view.registry.registration_by_endpoint
+    assert in_use == {change.name: change.item for change in newer}
+    clock.advance_ms(REREGISTRATION_MS)
+    view.expire()
+    assert view.registry.registration_by_endpoint == {item.name: item.item for item in older}
+
+
+def test_older_configuration_of_a_restored_store_does_not_come_into_force(make_view):
+    """Guards against routes that operators replaced, until they write a higher version."""
+    view, _ = make_view("a1")
+    for value, era in ((config(6, 1.0), 0), (config(5, 2.0), 1)):
+        change = FleetChange("main", value)
+        view.apply_changes(Topic.CONFIGURATION, FleetChanges(9, [change], True, era))
+        assert view._routing.config == config(6, 1.0)
+    again = FleetChanges(2, [FleetChange("main", config(7, 3.0))], False, 1)
+    view.apply_changes(Topic.CONFIGURATION, again)
+    assert view._routing.version == 7
+
+
+def test_tables_of_a_restored_store_are_told_even_if_equal_or_gone(make_view):
+    """Guards against rows of a forgotten table that stay in force."""
+    view, _ = make_view("a1")
+    told = []
+    view._on_table = lambda table, source: told.append((table.service, table.revision, table.era))
+    view._on_restored = lambda era, source: told.append(era)
+    row = {"*/*": Row(3, "x", None)}
+    tables = [FleetChange(name, ServiceTable(name, 3, row)) for name in ("one", "two")]
+    view.apply_changes(Topic.TABLES, FleetChanges(8, tables, True))
+    view.apply_changes(Topic.TABLES, FleetChanges(4, tables[:1], True, 1))
+    assert told == [("one", 3, 0), ("two", 3, 0), ("one", 3, 1), 1]
--- a/packages/cassiahaven-standins/cassiahaven_standins/platform_store.py
+++ b/packages/cassiahaven-standins/cassiahaven_standins/platform_store.py
@@ -5,6 +5,7 @@
 import time
 from collections import deque
 from collections.abc import Callable
+from dataclasses import dataclass
 from http.server import BaseHTTPRequestHandler
 from typing import Any
 from urllib.parse import parse_qs, urlsplit
@@ -17,6 +18,15 @@
 MAX_SILENCE_S = 60.0
 
 
+@dataclass(frozen=True, slots=True)
+class StoreCopy:
+    """The state of a store at one revision."""
+
+    revision: int
+    object_by_key: dict[tuple[str, str], dict[str, Any]]
+    history: tuple[tuple[int, str, dict[str, Any], bool], ...]
+
+
 class StoreState:
     """Objects by kind and name under one store-wide revision, and the active faults.
 
@@ -30,6 +40,7 @@
         before_page: Called with the kind and the name after which a page starts, before the page
             is read.
         call_count: Requests so far, including refused ones.
+        era: Number of restores, sent with every response; ``None`` to send none.
     """
 
     def __init__(self) -> None:
@@ -46,6 +57,20 @@
         self.before_page: Callable[[str, str], None] = lambda kind, after: None
         self.refused_hosts: set[str] = set()
         self.call_count = 0
+        self.era: int | None = None
+
+    def copy(self) -> "StoreCopy":
+        """Return a copy of the objects, from which the store can be restored."""
+        with self.lock:
+            return StoreCopy(self.revision, dict(self.object_by_key), tuple(self.history))
+
+    def restore(self, copy: "StoreCopy") -> None:
+        """Return to an earlier state: what was written since is gone, also its revisions."""
+        with self.lock:
+            self.revision = copy.revision
+            self.object_by_key = dict(copy.object_by_key)
+            self.history = deque(copy.history, maxlen=HISTORY_LENGTH)
+            self.era = (self.era or 0) + 1
 
     def put(self, kind: str, name: str, spec: Any) -> int:
         """Write an object and return the store's revision."""
@@ -92,7 +117,7 @@
         The changes are ``None`` if the history after ``revision`` was dropped.
         """
         with self.lock:
-            if revision < self.compacted_revision:
+            if revision < self.compacted_revision or revision > self.revision:
                 return None, self.revision
             found = [
                 {"object": stored, "deleted": deleted}
@@ -197,6 +222,8 @@
         data = json.dumps(value).encode()
         try:
             self.send_response(status)
+            if self.state.era is not None:
+                self.send_header("Store-Era", str(self.state.era))
             self.send_header("Content-Type", "application/json")
             self.send_header("Content-Length", str(len(data)))
             self.end_headers()
--- a/tests/test_platform_store.py
+++ b/tests/test_platform_store.py
@@ -6,7 +6,7 @@
 import pytest
 import urllib3
 
-from cassiahaven_core.edge import HistoryGone, Topic
+from cassiahaven_core.edge import HistoryGone, StoreUnavailable, Topic
 from cassiahaven_core.routed_settings import SocketAddress
 from cassiahaven_core.store_outage import StoreOutageDetector
 from cassiahaven_entry.metrics import Metrics
@@ -233,3 +233,73 @@
     platform_store._http = Pages()
     listed = platform_store.read(Topic.ENDPOINTS)
     assert {item.name for item in listed.changes if item.item} == {"i-1", "i-2"}
+
+
+def test_watch_from_a_revision_that_a_restored_store_issued_again_is_not_mistaken(
+    standin, store_of_standin
+):
+    """Guards against changes that a restore undid and a watch that hides it."""
+    state = standin.state
+    state.put("servers", "i-1", registration())
+    copy = state.copy()
+    state.put("servers", "i-1", registration("draining"))
+    known = store_of_standin.read(Topic.ENDPOINTS)
+    state.restore(copy)
+    with pytest.raises(HistoryGone):
+        store_of_standin.watch(Topic.ENDPOINTS, revision=known.revision, wait_ms=0)
+    state.put("servers", "i-2", registration())
+    state.put("servers", "i-3", registration())
+    told = store_of_standin.watch(Topic.ENDPOINTS, revision=known.revision, wait_ms=0)
+    assert known.version < told.version
+    assert (known.era, told.era) == (0, 1)
+
+
+def test_list_with_pages_from_before_and_after_a_restore_is_read_again(standin, store_of_standin):
+    """Guards against a list of objects that no state of the store held together."""
+    state = standin.state
+    state.page_items = 1
+    for number in (1, 2):
+        state.put("servers", f"i-{number}", registration())
+    copy = state.copy()
+    state.before_page = lambda kind, after: after and state.restore(copy)
+    with pytest.raises(HistoryGone):
+        store_of_standin.read(Topic.ENDPOINTS)
+
+
+@pytest.mark.parametrize("text", ["1", "", "-3", "2.0", "\u0663", "9" * 30])
+def test_answer_of_an_earlier_era_or_of_none_is_refused(platform_store, text):
+    """Guards against an answer from before the last restore that arrives late."""
+    platform_store.era = 2
+    with pytest.raises(StoreUnavailable):
+        platform_store._record_era(text)
+    assert platform_store.era == 2
+
+
+def test_feed_reads_a_topic_anew_as_soon_as_any_answer_is_of_a_later_era(standin):
+    """Guards against a watch that waits on while the store was restored to an older state."""
+    host, _, port = standin.address.partition(":")
+    store = PlatformStore(SocketAddress(host, int(port)), "edge-a", Metrics())
+    state = standin.state
+    state.put("servers", "i-1", registration())
+    copy = state.copy()
+    state.put("servers", "i-1", registration("draining"))
+    seen = []
+
+    def on_changes(topic, changes):
+        seen.append((changes.era, changes.is_whole, changes.changes[0].item.is_draining))
+        if len(seen) == 1:
+            state.restore(copy)
+            # The revision that the entry knows is issued again.
+            state.put("servers", "i-2", registration())
+        else:
+            raise ChangeSeen
+
+    feed = StoreFeed(
+        store,
+        is_wanted=lambda topic: True,
+        on_changes=on_changes,
+        contact=StoreOutageDetector(),
+    )
+    with pytest.raises(ChangeSeen):
+        feed.follow(Topic.ENDPOINTS)
+    assert seen == [(0, True, True), (1, True, False)]
