--- a/packages/cassiahaven-core/cassiahaven_core/peer_message.py
+++ b/packages/cassiahaven-core/cassiahaven_core/peer_message.py
@@ -12,6 +12,7 @@
 from cassiahaven_core.outcome import NotRun, Outcome, Ran, Unknown
 from cassiahaven_core.reason import RefusalReason, UnknownReason
 from cassiahaven_core.steering import EntryAddress
+from cassiahaven_core.store_version import StoreVersion
 from cassiahaven_core.table import Row
 from cassiahaven_core.table_codec import row_from_plain, row_to_plain
 from cassiahaven_core.usage_cap import Claim, Claims
@@ -64,12 +65,17 @@
 
 @dataclass(frozen=True, slots=True)
 class TableRows:
-    """The rows of a service that changed since ``base_revision``, 0 for all rows."""
+    """The rows of a service that changed since ``base_revision``, 0 for all rows.
+
+    Attributes:
+        era: Era of the store from which the rows are.
+    """
 
     service: str
     revision: int
     row_by_name: dict[str, Row]
     base_revision: int = 0
+    era: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -190,7 +196,7 @@
 
     name: str
     is_draining: bool
-    version_by_topic: dict[str, int] = field(default_factory=dict)
+    version_by_topic: dict[str, StoreVersion] = field(default_factory=dict)
 
 
 @dataclass(frozen=True, slots=True)
@@ -208,13 +214,15 @@
         store_age_ms: Time since the store's last answer.
         version_by_topic: Version of each topic that the sender has.
         sequence: Number of the last change that is included.
+        starting: Live entries that have no configuration yet, so callers cannot use them.
     """
 
     live: list[str]
     draining: list[str]
     store_age_ms: float
-    version_by_topic: dict[str, int]
+    version_by_topic: dict[str, StoreVersion]
     sequence: int = 0
+    starting: list[str] = field(default_factory=list)
 
 
 @dataclass(frozen=True, slots=True)
@@ -223,6 +231,8 @@
 
     Attributes:
         version_by_topic: The versions that changed.
+        starting: Further entries that have no configuration yet.
+        started: Entries that have one by now, or are gone.
     """
 
     sequence: int
@@ -231,7 +241,9 @@
     started_draining: list[str]
     stopped_draining: list[str]
     store_age_ms: float
-    version_by_topic: dict[str, int]
+    version_by_topic: dict[str, StoreVersion]
+    starting: list[str] = field(default_factory=list)
+    started: list[str] = field(default_factory=list)
 
     @property
     def is_empty(self) -> bool:
@@ -242,6 +254,8 @@
             or self.started_draining
             or self.stopped_draining
             or self.version_by_topic
+            or self.starting
+            or self.started
         )
 
 
@@ -268,12 +282,12 @@
 
     Attributes:
         topic: Name of the topic.
-        revision: Revision that the sender has; later changes suffice. 0 requests a snapshot.
+        version: Version that the sender has; later changes suffice. 0 requests a snapshot.
         digest: Digest of the items that the sender has, 0 without any.
     """
 
     topic: str
-    revision: int
+    version: StoreVersion
     digest: int = 0
 
 
@@ -287,7 +301,7 @@
     """
 
     topic: str
-    revision: int
+    version: StoreVersion
     is_whole: bool
     plain_by_name: dict[str, Any]
 
@@ -363,6 +377,7 @@
     WatcherReportChange: 3,
     StateRequest: 4,
 }
+_VERSIONS_POSITION_BY_CLASS = {MemberReport: 2, WatcherReport: 3, WatcherReportChange: 6}
 _CLASS_BY_NUMBER = {number: item for item, number in _NUMBER_BY_CLASS.items()}
 
 
@@ -389,10 +404,17 @@
             values[0] = [_claims_to_plain(item) for item in claims]
         case KeyReply(reply=reply):
             values[1] = _reply_to_plain(reply)
+        case MemberReport(version_by_topic=versions):
+            values[2] = _versions_to_plain(versions)
+        case WatcherReport(version_by_topic=versions):
+            values[3] = _versions_to_plain(versions)
+        case StateRequest(version=version) | StateNews(version=version):
+            values[1] = StoreVersion.of(version).to_plain()
         case WatcherPulse(store_age_ms=store_age_ms):
             values[0] = round(store_age_ms)  # at most 5 bytes in place of 9
-        case WatcherReportChange(store_age_ms=store_age_ms):
+        case WatcherReportChange(store_age_ms=store_age_ms, version_by_topic=versions):
             values[5] = round(store_age_ms)
+            values[6] = _versions_to_plain(versions)
     kind = type(message)
     data = cbor2.dumps([_NUMBER_BY_CLASS.get(kind, kind.__name__), *values])
     if len(data) < LEAST_COMPRESSED_BYTES:
@@ -427,6 +449,13 @@
             case "KeyReply":
                 values[1] = _reply_from_plain(values[1])
         kind = _CLASS_BY_NUMBER[tag] if isinstance(tag, int) else _CLASS_BY_TAG[tag]
+        position = _VERSIONS_POSITION_BY_CLASS.get(kind)
+        if position is not None:
+            values[position] = {
+                topic: StoreVersion.of(plain) for topic, plain in values[position].items()
+            }
+        elif kind in (StateRequest, StateNews):
+            values[1] = StoreVersion.of(values[1])
         return kind(*values)
     except (
         zlib.error,
@@ -452,6 +481,10 @@
     return Claims(*values, {name: Claim(*claim) for name, claim in claims.items()})
 
 
+def _versions_to_plain(versions: dict[str, StoreVersion]) -> dict[str, int | list[int]]:
+    return {topic: StoreVersion.of(version).to_plain() for topic, version in versions.items()}
+
+
 def outcome_to_plain(outcome: Outcome) -> list[Any]:
     """Return ``outcome`` as a list that starts with its kind."""
     match outcome:
--- a/packages/cassiahaven-entry/cassiahaven_entry/fleet_links.py
+++ b/packages/cassiahaven-entry/cassiahaven_entry/fleet_links.py
@@ -25,6 +25,7 @@
     WatcherReportChange,
     encode_once,
 )
+from cassiahaven_core.store_version import StoreVersion
 from cassiahaven_core.watcher_report import ReportMessage, ReportPublisher, ReportReplica
 from cassiahaven_entry.clock import MS_PER_S, now_ms
 from cassiahaven_entry.event import LogEvent, log
@@ -78,7 +79,7 @@
         self,
         *,
         report: Callable[[], WatcherReport],
-        versions: Callable[[], dict[str, int]],
+        versions: Callable[[], dict[str, StoreVersion]],
         state_request: Callable[[str], StateRequest],
         state_update: Callable[[StateRequest], StateNews],
         on_state_update: Callable[[StateNews, str], None],
@@ -154,7 +155,7 @@
         self._has_near_link = has_near_link
         self._replica = ReportReplica()
         self._report_requested_ms = float("-inf")
-        self._reported: tuple[bool, dict[str, int]] | None = None
+        self._reported: tuple[bool, dict[str, StoreVersion]] | None = None
 
     @property
     def is_connected(self) -> bool:
@@ -236,6 +237,7 @@
                 draining=report.draining,
                 store_age_ms=report.store_age_ms,
                 now_ms=now_ms(),
+                starting=report.starting,
             )
         else:
             self._fleet.record_watcher_heartbeat(
@@ -280,7 +282,7 @@
         self._is_report_due = False
         self._waiting_notices: dict[tuple[str, str], RateLimitNotice] = {}
         self._request_pacer = StateRequestPacer()
-        self._encoded_replies: dict[tuple[StateRequest, int], Encoded] = {}
+        self._encoded_replies: dict[tuple[StateRequest, StoreVersion], Encoded] = {}
         host, _, port = fleet.own.peers.rpartition(":")
         self._server = PeerServer(
             host,
@@ -344,6 +346,12 @@
         self._published_ms = now_ms()
         self._server.publish(self._reports.advance(self._state.report()))
 
+    def report(self) -> None:
+        """Tell the watchers at once what changed at this entry."""
+        is_draining = self._fleet.own.name in self._fleet.draining
+        for link in self.link_by_name.values():
+            link.report(is_draining)
+
     def publish(self, message: PeerMessage) -> None:
         """Send ``message`` to all subscribers and watchers."""
         self._server.publish(message)
@@ -398,6 +406,7 @@
             case MemberReport(name=name, is_draining=is_draining, version_by_topic=versions):
                 is_changed = connection not in self._name_by_connection
                 is_changed |= is_draining != (name in self._fleet.draining)
+                is_changed |= name in self._fleet.own_starting(now_ms())
                 self._name_by_connection[connection] = name
                 self._fleet.record_report(
                     name, is_draining=is_draining, now_ms=now_ms(), version_by_topic=versions
--- a/packages/cassiahaven-entry/cassiahaven_entry/routed_node.py
+++ b/packages/cassiahaven-entry/cassiahaven_entry/routed_node.py
@@ -133,6 +133,7 @@
             on_members=self._on_members,
             on_table=self._apply_table,
             on_evacuations=self._on_evacuations if self._follows_evacuations else None,
+            on_restored=self._on_store_restored,
         )
         self.metrics.rate_limited_endpoints.set_function(
             lambda: sum(
@@ -307,8 +308,7 @@
         self.frontend.is_closing = True
         self.fleet.draining.add(self.settings.name)
         self.links.publish_report()
-        for link in self.links.link_by_name.values():
-            link.report(True)
+        self.links.report()
         close_at_ms = started_ms + self.settings.stop_ms * CLOSE_SHARE
         eventlet.sleep(max(0.0, close_at_ms - now_ms()) / MS_PER_S)
         self.frontend.stop()
@@ -349,9 +349,11 @@
         return response
 
     def _serving_entries(self, host: str, zone: str) -> list[Member]:
-        if not self.is_ready and not self.is_draining:
-            return []
-        return self.fleet.serving_entries(zone, SERVING_ENTRY_CORES, now_ms())
+        # An entry that cannot serve yet, or no longer, still names others that do.
+        unusable = self.fleet.starting(now_ms())
+        if not self.is_ready:
+            unusable.add(self.settings.name)
+        return self.fleet.serving_entries(zone, SERVING_ENTRY_CORES, now_ms(), unusable=unusable)
 
     def serving_entry_names(self) -> set[str]:
         """Return the entries that callers of any availability zone use."""
@@ -368,8 +370,13 @@
             draining=self.fleet.own_draining(),
             store_age_ms=min(self.feed.age_ms, 1e9),
             version_by_topic=self.view.versions(),
+            starting=self._starting_entries(),
         )
 
+    def _starting_entries(self) -> list[str]:
+        own = [] if self.is_ready or self.is_draining else [self.settings.name]
+        return [*own, *self.fleet.own_starting(now_ms())]
+
     def _is_watching(self, topic: Topic) -> bool:
         if not self.view.has_members:
             # Watchers are chosen from the members, so read these first.
@@ -391,6 +398,9 @@
             task.health_path = spec.health_path
             task.policy.pool.set_cold_limit(spec.cold_per_s, now_ms())
             self._outdated_services.add(spec.name)  # the time after a start may have changed
+        if not self._is_ready:
+            # Callers are sent here only once the watchers know of the configuration.
+            self.links.report()
         self.links.publish_report()
 
     def _log_accounts(self, config: GatewayConfig) -> None:
@@ -418,7 +428,14 @@
 
     def _apply_table(self, table: ServiceTable, source: str) -> None:
         self.tables.add_service(table.service)
-        self.tables.merge_rows(TableRows(table.service, table.revision, table.row_by_name), source)
+        rows = TableRows(table.service, table.revision, table.row_by_name, era=table.era)
+        self.tables.merge_rows(rows, source)
+
+    def _on_store_restored(self, era: int, source: str) -> None:
+        # The store may have lost whole tables, which it then no longer lists.
+        for service, table in self.tables.table_by_service.items():
+            if table.era < era:
+                self.tables.merge_rows(TableRows(service, 0, {}, era=era), source)
 
     def _on_table(self, table: ServiceTable) -> None:
         task = self._task_by_service.get(table.service)
@@ -524,15 +541,18 @@
             task.apply_rate_limit_notice(notice)
 
     def _register(self) -> None:
+        """Register, and again whenever the store was restored to a state without this process."""
         while True:
             try:
                 self.store.register(self.member)
             except StoreUnavailable as error:
                 self.feed.record_availability(False, f"registration: {error}")
                 eventlet.sleep(REGISTER_RETRY_MS / MS_PER_S)
-            else:
-                self.feed.record_availability(True)
-                return
+                continue
+            self.feed.record_availability(True)
+            era = self.store.era
+            while self.view.members_era <= era or self.view.is_registered(self.member):
+                eventlet.sleep(HOUSEKEEPING_INTERVAL_MS / MS_PER_S)
 
     def _run_housekeeping(self) -> None:
         while True:
@@ -553,13 +573,22 @@
     def _share_rate_limits(self) -> None:
         """Divide the endpoints' rate limits among the entries that serve callers."""
         members = self.fleet.member_by_name
-        inputs = (frozenset(self._live), frozenset(self.fleet.draining), tuple(members.values()))
+        inputs = (
+            frozenset(self._live),
+            frozenset(self.fleet.draining),
+            frozenset(self.fleet.starting(now_ms())),
+            tuple(members.values()),
+        )
         if inputs != self._serving_inputs:
             self._serving_inputs = inputs
             self._serving = {
                 member.name: member.availability_zone
                 for zone in self.settings.region_by_zone
-                for member in self.fleet.serving_entries(zone, SERVING_ENTRY_CORES, now_ms())
+                # Entries that are starting may have callers before all others know that they can.
+                for member in (
+                    *self.fleet.serving_entries(zone, SERVING_ENTRY_CORES, now_ms()),
+                    *self._serving_entries("", zone),
+                )
             }
         for task in self._task_by_service.values():
             task.set_serving_entries(self._serving, live=len(self._live))
