Check the digest of items after a change, and specify the restored store

Cause: a watcher that has the items of a subscriber answers a request without any item. The new specification of a restored store (two watchers, one subscriber, late and repeated answers) found that such an answer, delivered after the subscriber had taken other news, marked forgotten items as the newest version: write, read, restore, answer, read, answer, both answers arrive.

Change: an answer with changes carries the digest of the sender's items. A subscriber that would arrive at other items requests the whole topic.

--- a/packages/cassiahaven-core/cassiahaven_core/fleet_state.py
+++ b/packages/cassiahaven-core/cassiahaven_core/fleet_state.py
@@ -127,6 +127,27 @@
         names = {name for at, name in self._changes if at > version}
         return {name: self.item_by_name.get(name) for name in names}
 
+    def fits(
+        self, changes: dict[str, Item | None], version: StoreVersion | int, digest: int
+    ) -> bool:
+        """Return whether ``changes`` lead to the items with ``digest``, or come too late.
+
+        They may not, as this entry may have changed since it asked for them.
+
+        Args:
+            changes: Changes up to ``version``.
+            version: Version of the entry that sent them.
+            digest: Digest of its items, 0 if it is not known.
+        """
+        if not digest or StoreVersion.of(version) <= self.version:
+            return True
+        result = self.digest
+        for name in self._differing(changes):
+            item = changes[name]
+            result ^= self._digest_by_name.get(name, 0)
+            result ^= _digest(name, item) if item is not None else 0
+        return result == digest
+
     def _can_continue(self, version: StoreVersion) -> bool:
         """Return whether changes up to ``version`` can follow the items of this one."""
         return version.era == self.version.era
--- a/packages/cassiahaven-core/cassiahaven_core/peer_message.py
+++ b/packages/cassiahaven-core/cassiahaven_core/peer_message.py
@@ -265,12 +265,14 @@
     Attributes:
         is_whole: Whether this is a snapshot with all items of the topic.
         plain_by_name: Items as plain lists, ``None`` for a deleted one.
+        digest: Digest of all items of the sender, 0 if there is none.
     """
 
     topic: str
     version: StoreVersion
     is_whole: bool
     plain_by_name: dict[str, Any]
+    digest: int = 0
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/cassiahaven-entry/cassiahaven_entry/fleet_view.py
+++ b/packages/cassiahaven-entry/cassiahaven_entry/fleet_view.py
@@ -74,7 +74,7 @@
             Topic.TABLES.value: self._tables,
         }
         self._config_by_version: dict[int, bytes] = {}
-        self._needs_whole_config = False
+        self._needs_whole: set[str] = set()
         self._on_config = on_config
         self._on_endpoints = on_endpoints
         self._on_members = on_members
@@ -115,8 +115,10 @@
     def state_request(self, topic: str) -> StateRequest:
         """Return the request for what changed in ``topic`` since the local version."""
         if topic == Topic.CONFIGURATION.value:
-            version = 0 if self._needs_whole_config else self._routing.version
+            version = 0 if topic in self._needs_whole else self._routing.version
             return StateRequest(topic, StoreVersion(0, version))
+        if topic in self._needs_whole:
+            return StateRequest(topic, NO_VERSION)
         state = self._state_by_topic[topic]
         return StateRequest(topic, state.version, state.digest)
 
@@ -132,7 +134,7 @@
         plain = {
             name: None if item is None else item_to_plain(item) for name, item in changed.items()
         }
-        return StateNews(topic, state.version, False, plain)
+        return StateNews(topic, state.version, False, plain, state.digest)
 
     def apply_update(self, state_update: StateNews, peer: str) -> None:
         """Apply a state update from the watcher ``peer``."""
@@ -144,10 +146,16 @@
             name: None if plain is None else plain_to_item(kind, plain)
             for name, plain in state_update.plain_by_name.items()
         }
+        topic, version = state_update.topic, StoreVersion.of(state_update.version)
+        if state_update.is_whole:
+            self._needs_whole.discard(topic)
+        elif not self._state_by_topic[topic].fits(items, version, state_update.digest):
+            self._needs_whole.add(topic)
+            return
         self._apply(
-            Topic(state_update.topic),
+            Topic(topic),
             items,
-            StoreVersion.of(state_update.version),
+            version,
             FROM_PEER,
             peer,
             is_whole=state_update.is_whole,
@@ -220,7 +228,7 @@
 
     def _apply_config_update(self, state_update: StateNews) -> None:
         if state_update.is_whole:
-            self._needs_whole_config = False
+            self._needs_whole.discard(state_update.topic)
             for plain in state_update.plain_by_name.values():
                 self._activate(config_from_plain(plain), FROM_PEER)
             return
@@ -236,7 +244,7 @@
             is_exact = False
         if not is_exact:
             # The version was written with other contents, for instance in a restored store.
-            self._needs_whole_config = True
+            self._needs_whole.add(state_update.topic)
             return
         self._activate(config_from_plain(plain), FROM_PEER)
 
--- a/packages/cassiahaven-entry/tests/test_fleet_view.py
+++ b/packages/cassiahaven-entry/tests/test_fleet_view.py
@@ -249,6 +249,23 @@
         assert told.state_update(StateRequest(ENDPOINTS, 0)).plain_by_name.keys() == {"e1"}
 
 
+def test_answer_to_an_earlier_request_is_not_applied_to_other_items(make_view):
+    """Guards against forgotten items that an answer without changes marks as the newest."""
+    (follower, _), (restored, _) = make_view("a1"), make_view("b1")
+    request = follower.state_request(ENDPOINTS)
+    listed = [FleetChange(name, registration(name)) for name in ("e1", "e2")]
+    restored.apply_changes(Topic.ENDPOINTS, FleetChanges(1, listed, True, 1))
+    answer = restored.state_update(request)
+    assert answer.plain_by_name == {}
+    follower.apply_changes(Topic.ENDPOINTS, FleetChanges(9, [written("e3", 9)], False))
+    follower.apply_update(answer, "b1")
+    assert follower.versions()[ENDPOINTS] == StoreVersion(0, 9)
+    follower.apply_update(restored.state_update(follower.state_request(ENDPOINTS)), "b1")
+    assert follower.versions()[ENDPOINTS] == StoreVersion(1, 1)
+    told = follower.state_update(StateRequest(ENDPOINTS, 0))
+    assert told.plain_by_name.keys() == {"e1", "e2"}
+
+
 def test_endpoints_have_time_to_register_again_after_a_restore(make_view, clock):
     """Guards against calls to an earlier start of an endpoint, and against none to live ones."""
     view, _ = make_view("a1")
--- a/specs/catalogue.py
+++ b/specs/catalogue.py
@@ -3,6 +3,7 @@
 from specs.at_most_once import AtMostOnce
 from specs.explorer import Spec
 from specs.probe_lease import ProbeLease
+from specs.restored_store import RestoredStore
 from specs.table_versions import TableVersions
 
 SMALL_SPECS: list[Spec] = [
@@ -10,10 +11,12 @@
     AtMostOnce(keys=1, sends=2, total_sends=2, crashes=0, has_epochs=True),
     TableVersions(edits=3),
     ProbeLease(),
+    RestoredStore(),
 ]
 FULL_SPECS: list[Spec] = [
     *SMALL_SPECS,
     TableVersions(edits=4),
+    RestoredStore(writes=2),
     AtMostOnce(keys=2, sends=3, total_sends=3),
     AtMostOnce(keys=1, sends=2, total_sends=2, crashes=1, has_epochs=True),
 ]
