Take only statuses from 100 to 599 for responses, on every path

Cause: the HTTP client takes whatever Python reads as a number up to 999 for a status. 600 and 999 reached callers as whole responses; "2_00", "+200", two spaces, a tab or a no-break space in place of the space, "HTTP/0.9" and "HTTP/1.x" were taken for 200, "1_00" for an interim response. It concerned calls, streams, pipelines, early responses to uploads, health checks (HttpProbe used the plain client) and both stores.

Change: WholeResponse reads the status line itself: HTTP/1 and a digit, one space, three digits from 100 to 599, and a reason that may be missing. Anything else is no response: the exchange fails as lost, so the call is repeated within the retry budget or ends as unknown, and the connection is closed. The event unexpected_bytes names the place and the first bytes. HttpProbe uses the strict responses too. Links between entries need no change: their library refuses other statuses than 101.

The scripts and the rig send invalid status lines, with another body.

--- a/packages/cassiahaven-entry/cassiahaven_entry/_connection.py
+++ b/packages/cassiahaven-entry/cassiahaven_entry/_connection.py
@@ -22,11 +22,26 @@
 LONGEST_LOGGED_BYTES = 200
 SHORTEST_TIMEOUT_S = 0.001  # 0 would make the socket non-blocking
 DIGITS = re.compile(r"[0-9]+")
+LONGEST_STATUS_LINE = 65_536
+# Servers may leave out the reason together with the space before it.
+VALID_STATUS_LINE = re.compile(rb"(HTTP/1\.[0-9]) ([1-5][0-9]{2})(?: ([^\r\n]*))?\r?\n")
 STATUS_LINE = re.compile(r"HTTP/[0-9]\.[0-9] +[0-9]{3}")
 CHUNK_SIZE_LINE = re.compile(rb"([0-9A-Fa-f]+)[ \t]*(;[^\r\n]*)?\r\n")
 BODILESS_STATUSES = frozenset({HTTPStatus.NO_CONTENT, HTTPStatus.NOT_MODIFIED})
 
 
+class InvalidStatusLine(HTTPException):
+    """Raised if what arrives in place of a response does not begin with a valid status line.
+
+    Attributes:
+        start: The first bytes that arrived.
+    """
+
+    def __init__(self, line: bytes) -> None:
+        self.start = line[:LONGEST_LOGGED_BYTES]
+        super().__init__(f"invalid status line {self.start!r}")
+
+
 class ResponseWithinHead(HTTPException):
     """Raised if another response begins within the head of a response."""
 
@@ -118,6 +133,7 @@
     of the trailers, so an answer that is cut there would look complete. It also ignores headers
     behind a malformed line, and lengths and transfer codings that it cannot read. A response that
     is cut off within its head, and followed by another one, looks like one response.
+    Statuses up to 999, and whatever else Python reads as such a number, pass for statuses.
 
     Args:
         record: Updated with what is received.
@@ -155,6 +171,19 @@
         elif self.chunked:
             self.fp = _ChunkedBytes(self.fp)
 
+    def _read_status(self) -> tuple[str, int, str]:
+        """Read a status line; return version, status and reason.
+
+        Raises:
+            InvalidStatusLine: The line is none, so what follows is no response.
+        """
+        line = self.fp.readline(LONGEST_STATUS_LINE)
+        matched = VALID_STATUS_LINE.fullmatch(line)
+        if matched is None:
+            raise InvalidStatusLine(line)
+        version, status, reason = (part or b"" for part in matched.groups())
+        return version.decode(), int(status), reason.decode("latin-1")
+
     def _close_conn(self) -> None:
         """Record what was received behind the answer, and drop the buffer that holds it."""
         if not self.fp.closed:
--- a/packages/cassiahaven-entry/cassiahaven_entry/http_probe.py
+++ b/packages/cassiahaven-entry/cassiahaven_entry/http_probe.py
@@ -4,6 +4,7 @@
 
 from cassiahaven_core.edge import UpstreamProbe
 from cassiahaven_core.endpoint_address import EndpointAddress
+from cassiahaven_entry._connection import WholeResponsePool
 
 PROBE_TIMEOUT_S = 0.5
 PROBE_PATH = "/health"
@@ -14,7 +15,7 @@
 
     def probe(self, address: EndpointAddress) -> bool:
         """Return whether the endpoint reports that it is healthy."""
-        pool = urllib3.HTTPConnectionPool(address.host, address.port, maxsize=1, retries=False)
+        pool = WholeResponsePool(address.host, address.port, maxsize=1, retries=False)
         try:
             response = pool.urlopen("GET", PROBE_PATH, retries=False, timeout=PROBE_TIMEOUT_S)
         except urllib3.exceptions.HTTPError:
--- a/packages/cassiahaven-entry/cassiahaven_entry/http_transport.py
+++ b/packages/cassiahaven-entry/cassiahaven_entry/http_transport.py
@@ -32,6 +32,7 @@
 from cassiahaven_core.endpoint_address import EndpointAddress
 from cassiahaven_entry._connection import (
     BODILESS_STATUSES,
+    InvalidStatusLine,
     PeekingConnection,
     ResponseWithinHead,
     WholeResponsePool,
@@ -77,6 +78,7 @@
     IDLE_CONNECTION = "idle connection"  # found when a call was about to use the connection
     BEHIND_ANSWER = "behind an answer"
     IN_PLACE_OF_ANSWER = "in place of an answer"  # a response that names another request
+    STATUS_LINE = "in place of a status line"  # what arrived is no response
     WITHIN_HEAD = "within a head"  # a response cut off in its head, and then another one
 
 
@@ -178,7 +180,7 @@
             result = CallResult.UNANSWERED if is_impatient else CallResult.TIMEOUT
             return SendFailed(result, str(error), record=record)
         except (HTTPError, OSError) as error:
-            self._report_mixed_head(address, error, record, request.request_id)
+            self._report_unreadable_head(address, error, record, request.request_id)
             return SendFailed(CallResult.CONNECTION_LOST, str(error), record=record)
         record.framing, record.declared_bytes = _framing(request, response)
         return self._answer(address, request, response, timeout_ms - head_ms, record)
@@ -201,7 +203,7 @@
                 decode_content=False,
             )
         except (HTTPError, OSError) as error:
-            self._report_mixed_head(address, error, record, None)
+            self._report_unreadable_head(address, error, record, None)
             return ProbeFailed(f"{type(error).__name__}: {error}")
         value_by_name = _value_by_name(response)
         answered = self._dialect.read_head(response.status, value_by_name, None).request_id
@@ -327,19 +329,22 @@
         labels = (record.framing.value, record.connection.value, end)
         self._metrics.answers.labels(*labels).inc()
 
-    def _report_mixed_head(
+    def _report_unreadable_head(
         self,
         address: EndpointAddress,
         error: Exception,
         record: AnswerRecord,
         request_id: str | None,
     ) -> None:
-        if any(isinstance(cause, ResponseWithinHead) for cause in error.args):
+        for cause in error.args:
+            if isinstance(cause, ResponseWithinHead):
+                place, found = UnexpectedPlace.WITHIN_HEAD, {}
+            elif isinstance(cause, InvalidStatusLine):
+                place, found = UnexpectedPlace.STATUS_LINE, {"start": cause.start.decode("latin-1")}
+            else:
+                continue
             self._report_unexpected(
-                address,
-                UnexpectedPlace.WITHIN_HEAD,
-                request=request_id,
-                answer=record.to_plain(),
+                address, place, request=request_id, answer=record.to_plain(), **found
             )
 
     def _report_surplus(
--- a/packages/cassiahaven-entry/tests/test_http_store.py
+++ b/packages/cassiahaven-entry/tests/test_http_store.py
@@ -8,7 +8,7 @@
 from cassiahaven_core.edge import StoreUnavailable
 from cassiahaven_entry.http_store import HttpObjectStore
 from cassiahaven_entry.metrics import Metrics
-from cassiahaven_standins.answer_framing import FRAMING_BY_NAME, send_cut
+from cassiahaven_standins.answer_framing import FRAMING_BY_NAME, INVALID_STATUS_LINES, send_cut
 
 VALUE = b'{"rows": []}'
 
@@ -41,3 +41,13 @@
         with pytest.raises(StoreUnavailable):
             store.get("tables/lookup")
     assert store.get("tables/lookup").value == VALUE
+
+
+@pytest.mark.parametrize("line", INVALID_STATUS_LINES)
+def test_answer_of_the_store_with_an_invalid_status_is_no_answer(store_that_sends, line):
+    # A table was read from an answer whose status was ``2_00``.
+    answer = FRAMING_BY_NAME["length"].encode("200 OK", {"Version": "7"}, VALUE)
+    store = store_that_sends([answer.with_status_line(line).data, answer.data])
+    with pytest.raises(StoreUnavailable):
+        store.get("tables/lookup")
+    assert store.get("tables/lookup").value == VALUE
--- a/packages/cassiahaven-entry/tests/test_http_transport.py
+++ b/packages/cassiahaven-entry/tests/test_http_transport.py
@@ -14,15 +14,17 @@
 
 from cassiahaven_core.answer_record import ConnectionEnd, Framing
 from cassiahaven_core.edge import SendFailed, TransferBroken, UpstreamRequest
-from cassiahaven_core.endpoint import CallResult
+from cassiahaven_core.endpoint import CallResult, ProbeFailed
 from cassiahaven_core.endpoint_address import EndpointAddress
 from cassiahaven_entry import http_transport as http_transport_module
 from cassiahaven_entry._connection import PeekingConnection, UpstreamSocket
 from cassiahaven_entry.event import LogEvent
 from cassiahaven_entry.header_dialect import HeaderDialect
+from cassiahaven_entry.http_probe import HttpProbe
 from cassiahaven_entry.http_transport import HttpTransport, UnexpectedPlace
 from cassiahaven_entry.metrics import Metrics
 from cassiahaven_platform.dialects import PlatformUpstreams
+from cassiahaven_standins.answer_framing import INVALID_STATUS_LINES
 
 WHOLE = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
 
@@ -446,3 +448,52 @@
     transport = HttpTransport(HeaderDialect(), metrics=metrics)
     assert isinstance(transport.send(upstream.address, request(idempotent=True), 1000), SendFailed)
     assert b'unexpected_bytes_total{place="within a head"} 1.0' in metrics.text()
+
+
+@pytest.mark.parametrize("is_probe", [False, True])
+@pytest.mark.parametrize("line", INVALID_STATUS_LINES)
+def test_response_with_an_invalid_status_is_no_answer_and_its_bytes_are_logged(
+    events, line, is_probe
+):
+    # Status 600 and 999 reached callers, and ``2_00``, a tab and HTTP/0.9 were taken for 200.
+    spoiled = line + WHOLE[WHOLE.index(b"\r\n") :]
+    upstream = RawUpstream([spoiled, WHOLE], [WHOLE])
+    transport = HttpTransport(HeaderDialect())
+    if is_probe:
+        assert isinstance(transport.probe(upstream.address, "/health", 1000), ProbeFailed)
+    else:
+        sent = transport.send(upstream.address, request(idempotent=True), 1000)
+        assert sent.result is CallResult.CONNECTION_LOST
+        assert sent.record.framing is Framing.UNKNOWN
+    [(event, fields)] = events
+    assert event is LogEvent.UNEXPECTED_BYTES
+    assert fields["place"] == UnexpectedPlace.STATUS_LINE.value
+    assert fields["start"] == line.decode("latin-1") + "\r\n"
+    assert b"".join(transport.send(upstream.address, request(idempotent=True), 1000).body) == b"ok"
+    assert upstream.connections == 2
+
+
+@pytest.mark.parametrize(
+    "line",
+    [
+        b"HTTP/1.1 200 OK",
+        b"HTTP/1.0 200 OK",
+        b"HTTP/1.1 200",
+        b"HTTP/1.1 200 ",
+        b"HTTP/1.1 299 Not assigned",
+        b"HTTP/1.1 599  Two spaces \t and \xe9",
+    ],
+)
+def test_response_with_a_valid_status_is_passed_on(line):
+    # A check that is too strict would break answers of sound endpoints.
+    upstream = RawUpstream([line + WHOLE[WHOLE.index(b"\r\n") :]])
+    sent = HttpTransport(HeaderDialect()).send(upstream.address, request(idempotent=True), 1000)
+    assert (sent.status, b"".join(sent.body)) == (int(line[9:12]), b"ok")
+
+
+@pytest.mark.parametrize("line", INVALID_STATUS_LINES)
+def test_health_check_with_an_invalid_status_fails(line):
+    # ``2_00`` counted as healthy.
+    upstream = RawUpstream([line + WHOLE[WHOLE.index(b"\r\n") :]], [WHOLE])
+    assert not HttpProbe().probe(upstream.address)
+    assert HttpProbe().probe(upstream.address)
--- a/packages/cassiahaven-standins/cassiahaven_standins/answer_framing.py
+++ b/packages/cassiahaven-standins/cassiahaven_standins/answer_framing.py
@@ -3,9 +3,33 @@
 import socket
 import struct
 from abc import ABC, abstractmethod
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 CHUNK_BYTES = 40
+INVALID_STATUS_LINES = (
+    b"HTTP/1.1 000 Failed",
+    b"HTTP/1.1 0 Failed",
+    b"HTTP/1.1 00 Failed",
+    b"HTTP/1.1 099 Failed",
+    b"HTTP/1.1 600 Failed",
+    b"HTTP/1.1 999 Failed",
+    b"HTTP/1.1 2000 OK",
+    b"HTTP/1.1 20 OK",
+    b"HTTP/1.1 +200 OK",
+    b"HTTP/1.1 -200 OK",
+    b"HTTP/1.1 2_00 OK",
+    b"HTTP/1.1 2x0 OK",
+    b"HTTP/1.1 two OK",
+    b"HTTP/1.1",
+    b"HTTP/1.1 ",
+    b"HTTP/1.1  200 OK",
+    b"HTTP/1.1\t200 OK",
+    b"HTTP/1.1 200\tOK",
+    b"HTTP/1.1\xa0200 OK",
+    b"HTTP/0.9 200 OK",
+    b"HTTP/1.x 200 OK",
+    b" HTTP/1.1 200 OK",
+)
 NO_LINGER = struct.pack("ii", 1, 0)  # closing resets the connection
 
 
@@ -27,6 +51,14 @@
     interim_size: int = 0
     is_chunked: bool = False
 
+    def with_status_line(self, line: bytes) -> "FramedAnswer":
+        """Return the same answer with ``line`` in place of its status line."""
+        start = self.interim_size
+        end = self.data.index(b"\r\n", start)
+        data = self.data[:start] + line + self.data[end:]
+        head_size = self.head_size + len(line) - (end - start)
+        return replace(self, data=data, head_size=head_size)
+
     def parts_by_name(self) -> dict[str, list[range]]:
         """Return the positions of each kind of part."""
         status_end = self.data.index(b"\r\n", self.interim_size) + 2
--- a/packages/cassiahaven-standins/cassiahaven_standins/answer_scripts.py
+++ b/packages/cassiahaven-standins/cassiahaven_standins/answer_scripts.py
@@ -24,6 +24,7 @@
 
 from cassiahaven_standins.answer_framing import (
     FRAMING_BY_NAME,
+    INVALID_STATUS_LINES,
     NO_LINGER,
     FramedAnswer,
 )
@@ -49,6 +50,7 @@
 CUT_SHARE = 0.3
 LATE_SHARE = 0.15
 INTERIM_SHARE = 0.1
+INVALID_STATUS_SHARE = 0.05
 SURPLUS_SHARE = 0.25
 SPLIT_SHARE = 0.4
 LONGEST_PAUSE_S = 0.02
@@ -94,6 +96,7 @@
         reading: When the request's body is read.
         end: What becomes of the connection.
         load: Load that the answer to a probe reports.
+        has_status: Whether its status line is valid; otherwise it is no answer.
     """
 
     call_id: str
@@ -108,6 +111,7 @@
     reading: Reading = Reading.BEFORE
     end: End = End.KEEP
     load: int = 0
+    has_status: bool = True
 
     @property
     def is_bodiless(self) -> bool:
@@ -117,6 +121,8 @@
     @property
     def allowed_body(self) -> bytes | None:
         """Return the only body that may be handed out, ``None`` if there is none."""
+        if not self.has_status:
+            return None
         if self.is_bodiless:
             return b"" if len(self.sent_answer) >= self.answer.head_size else None
         if not self.answer.ends_with_connection:
@@ -166,7 +172,12 @@
     elif status.startswith("503"):
         headers = {"Request-Id": call_id, "Not-Executed": "1"}
     encoded = FRAMING_BY_NAME[framing].encode(status, headers, body)
-    answer = ScriptedAnswer(call_id, call, framing, encoded, body, int(status[:3]), load=load)
+    has_status = rng.random() >= INVALID_STATUS_SHARE
+    if not has_status:
+        encoded = encoded.with_status_line(rng.choice(INVALID_STATUS_LINES))
+    answer = ScriptedAnswer(
+        call_id, call, framing, encoded, body, int(status[:3]), load=load, has_status=has_status
+    )
     _add_pieces(rng, answer, last)
     return answer
 
@@ -320,7 +331,11 @@
         """Play scripts; describe each wrong answer that was handed out."""
         found = []
         for script, results in zip(scripts, self.results(scripts), strict=True):
-            loads = {scripted.load for scripted in script if scripted.call["is_probe"]}
+            loads = {
+                scripted.load
+                for scripted in script
+                if scripted.call["is_probe"] and scripted.has_status
+            }
             for scripted, result in zip(script, results, strict=True):
                 is_probe = scripted.call["is_probe"]
                 is_right = result in {None, *loads} if is_probe else scripted.allows(result)
@@ -334,6 +349,8 @@
         if scripted.is_bodiless:
             framing = "bodiless"
         sent = "whole" if scripted.is_whole else "cut"
+        if not scripted.has_status:
+            sent = "invalid status"
         outcome = "failed" if result is None else "handed out"
         key = (framing, f"{sent}, {scripted.end.value}", outcome if is_right else "WRONG")
         self.outcomes[key] += 1
--- a/packages/cassiahaven-standins/cassiahaven_standins/platform_answer_rig.py
+++ b/packages/cassiahaven-standins/cassiahaven_standins/platform_answer_rig.py
@@ -59,6 +59,7 @@
 DELAY_STEP_MS = 100
 MS_PER_S = 1000
 OK = 200
+LARGEST_STATUS = 599
 SHOWN_VIOLATIONS = 20
 
 
@@ -98,6 +99,8 @@
 
     def _find_violation(self) -> str:
         answer = self.answer
+        if answer.status > LARGEST_STATUS:
+            return "invalid status"
         if answer.status != OK or not answer.is_whole:
             return ""
         request = answer.headers.get("request-id")
--- a/packages/cassiahaven-standins/cassiahaven_standins/platform_endpoint.py
+++ b/packages/cassiahaven-standins/cassiahaven_standins/platform_endpoint.py
@@ -8,7 +8,12 @@
 from http.server import BaseHTTPRequestHandler
 from typing import Any
 
-from cassiahaven_standins.answer_framing import FRAMING_BY_NAME, NO_LINGER, LengthFraming
+from cassiahaven_standins.answer_framing import (
+    FRAMING_BY_NAME,
+    INVALID_STATUS_LINES,
+    NO_LINGER,
+    LengthFraming,
+)
 from cassiahaven_standins.quiet_server import QuietServer
 
 MAX_FLOOD_S = 10.0
@@ -42,8 +47,8 @@
             rejects them, ``error`` responds with status 500, ``hang`` never responds to them nor
             runs them, ``break`` breaks off its responses in the middle, ``cut`` sends them in any
             framing and cuts them off after any byte, ``stutter`` sends each of them once more,
-            late; empty for no fault.
-        spoiled_share: Share of the answers that ``cut`` and ``stutter`` affect.
+            late, ``status`` sends them with an invalid status line; empty for no fault.
+        spoiled_share: Share of the answers that ``cut``, ``stutter`` and ``status`` affect.
         endless_response: Sent in place of responses.
         endless_health_response: Sent in place of health check responses.
         endless_response_durations_s: Duration of each endless response, until its reader closed
@@ -160,9 +165,13 @@
         if state.fault == "break":
             self._break_off(response_body, response_headers)
             return
-        if state.fault in ("cut", "stutter") and state.random.random() < state.spoiled_share:
-            spoil = self._send_cut if state.fault == "cut" else self._send_twice
-            spoil(response_body, response_headers)
+        spoil_by_fault = {
+            "cut": self._send_cut,
+            "stutter": self._send_twice,
+            "status": self._send_invalid_status,
+        }
+        if state.fault in spoil_by_fault and state.random.random() < state.spoiled_share:
+            spoil_by_fault[state.fault](response_body, response_headers)
             return
         self._send(status, response_body, response_headers)
 
@@ -243,6 +252,11 @@
         second.daemon = True
         second.start()
 
+    def _send_invalid_status(self, body: bytes, headers: dict[str, str]) -> None:
+        # Its body differs from the answer's, so that it is noticed if it passes for a success.
+        answer = LengthFraming().encode("200 OK", headers, b"out of order")
+        self._write(answer.with_status_line(self.state.random.choice(INVALID_STATUS_LINES)).data)
+
     def _notices(self) -> dict[str, str]:
         notices = {"Server-Limit": self.state.rate_limit} if self.state.rate_limit else {}
         return notices | ({"Server-Leaving": "1"} if self.state.is_leaving else {})
--- a/packages/cassiahaven-standins/cassiahaven_standins/platform_mixed_endpoint.py
+++ b/packages/cassiahaven-standins/cassiahaven_standins/platform_mixed_endpoint.py
@@ -9,7 +9,12 @@
 from enum import Enum
 from functools import lru_cache
 
-from cassiahaven_standins.answer_framing import FRAMING_BY_NAME, NO_LINGER, FramedAnswer
+from cassiahaven_standins.answer_framing import (
+    FRAMING_BY_NAME,
+    INVALID_STATUS_LINES,
+    NO_LINGER,
+    FramedAnswer,
+)
 from cassiahaven_standins.platform_endpoint import (
     EndpointHandler,
     EndpointState,
@@ -27,6 +32,7 @@
 LARGE_BODY_BYTES = 50_000
 PART_BYTES = 65_536
 CACHED_BODIES = 32
+FAILURE_BODY = b"out of order"
 INTERIM_HEADS = (
     b"HTTP/1.1 100 Continue\r\n\r\n",
     b"HTTP/1.1 102 Processing\r\nRequest-Id: %s\r\n\r\n",
@@ -48,6 +54,7 @@
     LATE = "late"  # preceded by a part of the connection's answer before
     INTERIM = "interim"
     EARLY = "early"  # answers a long request before reading it
+    STATUS = "status"  # with an invalid status line, and another body
 
 
 class Ending(Enum):
@@ -201,6 +208,10 @@
             # Connections that are kept.
             while answer.ends_with_connection:
                 name, answer = self._encode(request, body, b"")
+        if spoil is Spoil.STATUS:
+            # Its body differs, so that the rig notices if it is handed out as a success.
+            name, answer = self._encode(request, FAILURE_BODY, b"")
+            answer = answer.with_status_line(rng.choice(INVALID_STATUS_LINES))
         sent = SentAnswer(request, state.endpoint, name, spoil, self._exchanges, len(body))
         state.answers.append(sent)
         if spoil is Spoil.LATE:
--- a/tests/test_answer_rig.py
+++ b/tests/test_answer_rig.py
@@ -95,7 +95,9 @@
         self._server.server_close()
 
 
-@pytest.mark.parametrize(("spoil", "is_found"), [(Spoil.CUT, True), (Spoil.TWICE, False)])
+@pytest.mark.parametrize(
+    ("spoil", "is_found"), [(Spoil.CUT, True), (Spoil.STATUS, True), (Spoil.TWICE, False)]
+)
 def test_rig_finds_a_relay_that_passes_cut_answers_on(tmp_path, spoil, is_found):
     # A rig that finds nothing in any case would show nothing about the entries.
     with platform_fleet(tmp_path, entries=0) as fleet:
@@ -106,7 +108,7 @@
     assert report["calls"]["whole_successes"] > 20
     assert bool(report["violations"]) is is_found
     early = [name for name in report["violations_by_kind"] if name.startswith("ends early")]
-    assert bool(early) is is_found
+    assert bool(early) is (spoil is Spoil.CUT)
 
 
 @pytest.mark.parametrize("framing", FRAMING_BY_NAME)
--- a/tests/test_answer_scripts.py
+++ b/tests/test_answer_scripts.py
@@ -6,10 +6,15 @@
 from hypothesis import HealthCheck, given, settings
 from hypothesis import strategies as st
 
-from cassiahaven_standins.answer_framing import FRAMING_BY_NAME, FramedAnswer
+from cassiahaven_standins.answer_framing import (
+    FRAMING_BY_NAME,
+    INVALID_STATUS_LINES,
+    FramedAnswer,
+)
 from cassiahaven_standins.answer_scripts import (
     SIGNATURE,
     End,
+    Reading,
     ScriptedAnswer,
     new_script,
     script_runner,
@@ -133,6 +138,35 @@
     assert runner.results([[exchange("t.0", two_ids)]]) == [[None]]
 
 
+@pytest.mark.parametrize("place", ["call", "stream", "upload", "behind an interim answer"])
+def test_response_with_an_invalid_status_is_not_passed_on(runner, place):
+    # Callers got 600 and 999 as whole answers, and ``2_00`` as 200.
+    size = 200_000 if place == "stream" else 3
+    method = "POST" if place == "upload" else "GET"
+    interim = b"HTTP/1.1 100 Continue\r\n\r\n" if place.startswith("behind") else b""
+    scripts = []
+    for number, line in enumerate(INVALID_STATUS_LINES):
+        calls = [f"v{number}.{position}" for position in range(2)]
+        answer = FRAMING_BY_NAME["length"].encode(
+            "200 OK", headers_for(calls[0]), b"b" * size, interim=interim
+        )
+        spoiled = exchange(calls[0], answer.with_status_line(line).data, method=method)
+        if place == "upload":
+            spoiled.call["body_bytes"] = 20_000
+            spoiled.reading = Reading.AFTER
+        scripts.append([spoiled, exchange(calls[1], encode(calls[1], b"own"))])
+    assert runner.results(scripts) == [[None, handed_out(200, b"own")]] * len(scripts)
+
+
+def test_interim_answer_with_an_invalid_status_is_not_skipped(runner):
+    # ``1_00`` was skipped as an interim answer, and what followed passed for the answer.
+    scripts = []
+    for status in ("1_00", "+100", "0100", "099"):
+        interim = f"HTTP/1.1 {status} Continue\r\n\r\n".encode()
+        scripts.append([exchange(f"w{status}.0", interim + encode(f"w{status}.0", b"body"))])
+    assert runner.results(scripts) == [[None]] * len(scripts)
+
+
 def test_answer_cut_in_a_chunk_does_not_end_within_the_one_behind_it(runner):
     # The chunk took the start of the second head, whose length of 0 was read as the last chunk.
     body = b"abcdefghij" * 40
--- a/tests/test_platform_path.py
+++ b/tests/test_platform_path.py
@@ -96,6 +96,39 @@
         assert status != 200 or answer == endpoint_answer("one", target, body)
 
 
+def test_response_with_an_invalid_status_is_repeated_or_reported_as_unknown(fleet, request_id):
+    # Status 000 of a failing endpoint reached a caller as a response.
+    for endpoint in fleet.endpoint_by_name.values():
+        endpoint.state.fault = "status"
+        endpoint.state.spoiled_share = 0.3
+    answers = {"safe": [], "unsafe": []}
+    for number in range(100):
+        for method, kind in (("GET", "safe"), ("POST", "unsafe")):
+            request, target = request_id(), f"/{kind}/x/{number}"
+            status, body, _ = fleet.call(fleet.entries[0], method, target, request=request)
+            assert status != 200 or body == endpoint_answer("one", target, b"")
+            assert kind == "safe" or fleet.run_count(request) <= 1
+            answers[kind].append(status)
+    assert set(answers["safe"]) <= {200, 502, 503}
+    assert answers["safe"].count(200) > answers["unsafe"].count(200)
+    assert set(answers["unsafe"]) == {200, 502}
+
+
+def test_pipelined_response_with_an_invalid_status_is_not_passed_on(fleet, request_id):
+    # The answers behind it on the caller's connection keep their order.
+    for endpoint in fleet.endpoint_by_name.values():
+        endpoint.state.fault = "status"
+        endpoint.state.spoiled_share = 0.3
+    caller = PipeliningCaller(fleet.entries[0].front_port)
+    for number in range(10):
+        targets = [f"/safe/x/{number}/{position}" for position in range(8)]
+        answers = caller.call([PipelinedRequest("GET", item, request_id()) for item in targets])
+        for target, (status, body) in zip(targets, answers, strict=True):
+            assert status in (200, 502, 503)
+            assert status != 200 or body == endpoint_answer("one", target, b"")
+    caller.close()
+
+
 def test_calls_to_an_endpoint_that_hangs_are_answered_by_another(fleet, request_id):
     entry = fleet.entries[0]
     for number in range(150):
--- a/tests/test_platform_store.py
+++ b/tests/test_platform_store.py
@@ -1,17 +1,20 @@
 """The client of the platform's store: lost answers, and changes while a list is read."""
 
 import json
+import socket
+import threading
 from urllib.parse import parse_qs, urlsplit
 
 import pytest
 import urllib3
 
-from cassiahaven_core.edge import HistoryGone, Topic
+from cassiahaven_core.edge import HistoryGone, StoreUnavailable, Topic
 from cassiahaven_core.routed_settings import SocketAddress
 from cassiahaven_core.store_outage import StoreOutageDetector
 from cassiahaven_entry.metrics import Metrics
 from cassiahaven_entry.store_feed import StoreFeed
 from cassiahaven_platform.store import PlatformStore
+from cassiahaven_standins.answer_framing import INVALID_STATUS_LINES, LengthFraming, send_cut
 from cassiahaven_standins.platform_store import PlatformStore as StoreStandin
 
 CONTACT_MS = 3000.0  # after a disturbance of the store, entries have to keep every time limit
@@ -233,3 +236,24 @@
     platform_store._http = Pages()
     listed = platform_store.read(Topic.ENDPOINTS)
     assert {item.name for item in listed.changes if item.item} == {"i-1", "i-2"}
+
+
+@pytest.mark.parametrize("line", INVALID_STATUS_LINES)
+def test_answer_with_an_invalid_status_is_no_answer(line):
+    # A status of ``2_00`` was taken for 200, so an invalid list replaced the endpoints.
+    body = b'{"items":[],"more":false,"storeRevision":7}'
+    answer = LengthFraming().encode("200 OK", {}, body)
+    with socket.create_server(("127.0.0.1", 0)) as listener:
+
+        def serve():
+            for data in (answer.with_status_line(line).data, answer.data):
+                connection, _ = listener.accept()
+                connection.recv(65536)
+                send_cut(connection, data, resets=False)
+
+        threading.Thread(target=serve, daemon=True).start()
+        port = listener.getsockname()[1]
+        store = PlatformStore(SocketAddress("127.0.0.1", port), "edge-a", Metrics())
+        with pytest.raises(StoreUnavailable):
+            store.read(Topic.ENDPOINTS)
+        assert store.read(Topic.ENDPOINTS).revision == 7
