Wait for the rest of a head that begins at the end of a body

Cause: a response that is cut within its body is filled up by the start of the next one.

Change: a body with a declared length that ends with the first bytes of a head waits for the rest of it, up to the blank line, for at most 150 ms and not beyond the call's deadline.

Bodies that quote a head or its start are handed out whole, and bodies that end unlike a head do not wait.

--- a/packages/cassiahaven-entry/cassiahaven_entry/_connection.py
+++ b/packages/cassiahaven-entry/cassiahaven_entry/_connection.py
@@ -17,12 +17,18 @@
 
 from cassiahaven_core.answer_record import AnswerRecord, ConnectionEnd
 from cassiahaven_entry.clock import MS_PER_S, now_ms
+from cassiahaven_entry.repeated_answer import LONGEST_HEAD_BYTES, ends_within_head
 
 MOST_RECEIVES_WITHOUT_YIELD = 16  # the library reads 8 KB at a time
 LONGEST_LOGGED_BYTES = 200
 SHORTEST_TIMEOUT_S = 0.001  # 0 would make the socket non-blocking
 DIGITS = re.compile(r"[0-9]+")
 LONGEST_STATUS_LINE = 65_536
+BODY_GRACE_MS = 250.0  # a body sent just before the deadline may still be in transit
+# The parts of a head that its sender writes at once arrive sooner; and a call of 222 ms of work
+# has 294 ms left until its latency target.
+HEAD_REST_MS = 150.0
+RECEIVE_BYTES = 8192
 # Servers may leave out the reason together with the space before it.
 VALID_STATUS_LINE = re.compile(rb"(HTTP/1\.[0-9]) ([1-5][0-9]{2})(?: ([^\r\n]*))?\r?\n")
 STATUS_LINE = re.compile(r"HTTP/[0-9]\.[0-9] +[0-9]{3}")
@@ -56,11 +62,13 @@
     Attributes:
         may_end: Whether the end of the connection is the end of the answer.
         is_paused: Whether reads return nothing, so that only what has been buffered is read.
+        last: The last bytes received.
     """
 
     def __init__(self, raw: io.RawIOBase, record: AnswerRecord) -> None:
         self.may_end = False
         self.is_paused = False
+        self.last = b""
         self._raw = raw
         self._record = record
 
@@ -81,6 +89,9 @@
                 message = "the connection ended within an answer"
                 raise ConnectionResetError(errno.ECONNRESET, message)
         self._record.received_bytes += count or 0
+        if count:
+            received = bytes(memoryview(buffer)[:count][-LONGEST_HEAD_BYTES:])
+            self.last = (self.last + received)[-LONGEST_HEAD_BYTES:]
         return count
 
     def close(self) -> None:
@@ -143,6 +154,7 @@
         self, sock: socket.socket, *args: Any, record: AnswerRecord | None = None, **options: Any
     ) -> None:
         super().__init__(sock, *args, **options)
+        self._socket = sock
         self._record = record or AnswerRecord()
         self._bytes = _AnswerBytes(self.fp.detach(), self._record)
         self.fp = io.BufferedReader(self._bytes)
@@ -190,8 +202,34 @@
             # Peeking would otherwise wait for more if nothing is buffered.
             self._bytes.is_paused = True
             self._record.surplus = self.fp.peek()
+            self._receive_rest_of_head()
         super()._close_conn()
 
+    def _receive_rest_of_head(self) -> None:
+        """Receive the rest of a head that begins within the body, if its end looks like one.
+
+        A body that is cut off and filled up by the next response is as long as it should be. Only
+        the request's id in that response's head shows it, and the head may arrive in parts.
+        """
+        body = self._bytes.last[: len(self._bytes.last) - self._record.surplus_bytes]
+        if self.chunked or self.length != 0 or not isinstance(self._socket, UpstreamSocket):
+            return
+        if self._method == "HEAD" or not ends_within_head(body):
+            return
+        until_ms = min(now_ms() + HEAD_REST_MS, self._socket.expires_ms - BODY_GRACE_MS)
+        timeout_s = self._socket.gettimeout()
+        try:
+            while ends_within_head(body + self._record.surplus) and now_ms() < until_ms:
+                self._socket.settimeout(max(SHORTEST_TIMEOUT_S, (until_ms - now_ms()) / MS_PER_S))
+                received = self._socket.recv(RECEIVE_BYTES)
+                if not received:
+                    return
+                self._record.surplus += received
+        except OSError:
+            return  # nothing more arrives in time, or the connection ended
+        finally:
+            self._socket.settimeout(timeout_s)
+
 
 class WholeResponseConnection(HTTPConnection):
     """Connection that reports truncated answers."""
--- a/packages/cassiahaven-entry/cassiahaven_entry/http_transport.py
+++ b/packages/cassiahaven-entry/cassiahaven_entry/http_transport.py
@@ -32,6 +32,7 @@
 from cassiahaven_core.endpoint_address import EndpointAddress
 from cassiahaven_entry._connection import (
     BODILESS_STATUSES,
+    BODY_GRACE_MS,
     InvalidStatusLine,
     PeekingConnection,
     ResponseWithinHead,
@@ -45,7 +46,6 @@
 DOWN_CHECK_TIMEOUT_S = 0.1  # a dying process closes its sockets sooner, even on a busy machine
 UNACKNOWLEDGED_TIMEOUT_MS = 600  # drops an unresponsive connection while there is time to retry
 PART_BYTES = 65_536
-BODY_GRACE_MS = 250.0  # a body sent just before the deadline may still be in transit
 LARGEST_DISCARDED_BYTES = 4096  # for longer bodies a new connection costs less than reading on
 DISCARD_TIMEOUT_MS = 20.0  # a short body arrives together with its headers
 MOST_POOLED_CONNECTIONS = 32
--- a/packages/cassiahaven-entry/cassiahaven_entry/repeated_answer.py
+++ b/packages/cassiahaven-entry/cassiahaven_entry/repeated_answer.py
@@ -5,6 +5,22 @@
 LONGEST_HEAD_BYTES = 8192  # up to the request's id
 STATUS_LINE = re.compile(rb"HTTP/[0-9]\.[0-9] +[0-9]{3}")
 BLANK_LINE = b"\r\n\r\n"
+HEAD_START = b"HTTP/1."
+MOST_STARTS = 8  # in a body that quotes responses, only the last ones are looked at
+# A head up to any byte behind ``HEAD_START``, without the blank line that ends it.
+PARTIAL_HEAD = re.compile(
+    rb"HTTP/1\.(?:[0-9](?: (?:[1-5](?:[0-9](?:[0-9](?: [^\r\n]*)?)?)?)?)?)?\r?"
+    rb"|HTTP/1\.[0-9] [1-5][0-9]{2}(?: [^\r\n]*)?\r\n"
+    rb"(?:[!-9;-~]+:[^\r\n]*\r\n)*(?:[!-9;-~]+(?::[^\r\n]*)?)?\r?"
+)
+
+
+def ends_within_head(data: bytes) -> bool:
+    """Return whether ``data`` ends with the first bytes of a head that may continue."""
+    starts = list(re.finditer(re.escape(HEAD_START), data))[-MOST_STARTS:]
+    if any(PARTIAL_HEAD.fullmatch(data, found.start()) for found in starts):
+        return True
+    return any(data.endswith(HEAD_START[:size]) for size in range(1, len(HEAD_START)))
 
 
 class RepeatedAnswer:
--- a/tests/test_answer_scripts.py
+++ b/tests/test_answer_scripts.py
@@ -6,6 +6,7 @@
 from hypothesis import HealthCheck, given, settings
 from hypothesis import strategies as st
 
+from cassiahaven_entry.repeated_answer import ends_within_head
 from cassiahaven_standins.answer_framing import (
     FRAMING_BY_NAME,
     INVALID_STATUS_LINES,
@@ -215,13 +216,58 @@
     assert results == [[handed_out(200, quoted)]]
 
 
-def test_body_that_a_second_head_fills_to_its_end_is_not_passed_on(runner):
+@pytest.mark.parametrize("framing", ["length", "length, closes", "length, HTTP/1.0"])
+def test_body_that_a_second_head_fills_to_its_end_is_not_passed_on(runner, framing):
     # The first body was complete before the second head's id arrived, which alone shows it.
     body = b"abcdefghij" * 10
     scripts = []
     for missing in range(1, len(body) + 1):
         call_id = f"z{missing:03}.0"
+        answer = encode(call_id, body, framing=framing)
+        first = answer[:-missing] + answer[:missing]
+        scripts.append([exchange(call_id, first, PAUSE_S, answer[missing:], end=End.CLOSE)])
+    assert runner.results(scripts) == [[None]] * len(scripts)
+
+
+def test_streamed_body_that_a_second_head_fills_to_its_end_is_not_passed_on(runner):
+    # The second head lay in the last part of a long body and behind it.
+    body = b"abcdefghij" * 20_000
+    scripts = []
+    for missing in (1, 8, 40, 90):
+        call_id = f"y{missing:03}.0"
         answer = encode(call_id, body)
         first = answer[:-missing] + answer[:missing]
         scripts.append([exchange(call_id, first, PAUSE_S, answer[missing:], end=End.CLOSE)])
     assert runner.results(scripts) == [[None]] * len(scripts)
+
+
+HEAD = b"HTTP/1.1 200 OK\r\nRequest-Id: q\r\nContent-Length: 4\r\n\r\n"
+
+
+@pytest.mark.parametrize("end", [End.KEEP, End.CLOSE, End.SILENCE])
+def test_body_that_ends_like_the_start_of_a_head_is_passed_on(runner, end):
+    # Such a body waits for the rest of the head, and none arrives, or that of another request.
+    scripts = []
+    for size in range(1, len(HEAD) + 1):
+        call_id = f"q{size:03}.0"
+        body = b"quotes " + HEAD[:size]
+        late = encode("other", b"late") if end is End.KEEP else b""
+        scripts.append([exchange(call_id, encode(call_id, body), late, end=end)])
+    expected = [[handed_out(200, b"quotes " + HEAD[: size + 1])] for size in range(len(HEAD))]
+    assert runner.results(scripts) == expected
+
+
+@pytest.mark.parametrize(
+    "body", [b"", b'{"a": 1}', b"end\n", b"HTTP/1.1 is old", HEAD, HEAD + b"{}"]
+)
+def test_body_that_ends_unlike_a_head_does_not_wait(body):
+    # Waiting behind each body would delay every success.
+    assert not ends_within_head(body)
+    assert ends_within_head(body + HEAD[:-1])
+
+
+def test_body_that_ends_like_a_head_does_not_wait_beyond_its_deadline(runner):
+    # The call was answered in time, so its caller gets the answer before the deadline.
+    script = [exchange("d.0", encode("d.0", b"H"), end=End.SILENCE)]
+    script[0].call["timeout_ms"] = 60.0
+    assert runner.results([script]) == [[handed_out(200, b"H")]]
