Show the help of the command without its environment variables

Cause: the client was made, and its two variables were required, before the command line was read. The variables are checked by the first request now; a command without them still ends with code 2 and names them.

--- a/packages/cassiahaven-cli/cassiahaven_cli/client.py
+++ b/packages/cassiahaven-cli/cassiahaven_cli/client.py
@@ -26,9 +26,11 @@
     Args:
         entries: Operator addresses of entries, each ``host:port``.
         key: Operator key.
+        missing: Environment variables that are not set, so that no request can be sent.
     """
 
-    def __init__(self, entries: list[str], key: str) -> None:
+    def __init__(self, entries: list[str], key: str, *, missing: tuple[str, ...] = ()) -> None:
+        self._missing = missing
         self._entries = entries
         self._key = key
         self._http = urllib3.PoolManager(retries=False)
@@ -37,13 +39,12 @@
     def from_environment(cls, environ: Mapping[str, str] = os.environ) -> "Client":
         """Return a client for the entries and the key in the environment.
 
-        Raises:
-            CommandFailed: A variable is missing.
+        Missing variables are reported by the first request: help needs none.
         """
-        missing = [name for name in (ENTRIES_VARIABLE, KEY_VARIABLE) if not environ.get(name)]
-        if missing:
-            raise CommandFailed(f"set {' and '.join(missing)}", ExitCode.INVALID_INPUT)
-        return cls(environ[ENTRIES_VARIABLE].split(","), environ[KEY_VARIABLE])
+        names = (ENTRIES_VARIABLE, KEY_VARIABLE)
+        missing = tuple(name for name in names if not environ.get(name))
+        entries = environ.get(ENTRIES_VARIABLE, "").split(",")
+        return cls(entries, environ.get(KEY_VARIABLE, ""), missing=missing)
 
     def get(self, path: str) -> Any:
         """Return the decoded response to a GET request.
@@ -86,6 +87,8 @@
     def _request(
         self, entry: str, method: str, path: str, body: bytes | None
     ) -> urllib3.BaseHTTPResponse:
+        if self._missing:
+            raise CommandFailed(f"set {' and '.join(self._missing)}", ExitCode.INVALID_INPUT)
         return self._http.request(
             method,
             f"http://{entry}{path}",
--- a/tests/test_command_line.py
+++ b/tests/test_command_line.py
@@ -1,6 +1,9 @@
 """The operators' commands against a running deployment."""
 
 import json
+import os
+import subprocess
+import sys
 
 import pytest
 
@@ -85,3 +88,23 @@
     shown = json.loads(run_command(shared_fleet, "addresses", "lookup", "--json").stdout)
     assert sorted(item["role"] for item in shown) == ["active", "standby", "standby"]
     assert "active" in run_command(shared_fleet, "status").stdout
+
+
+def run_without_variables(*arguments):
+    environ = {name: value for name, value in os.environ.items() if "CASSIAHAVEN" not in name}
+    command = [sys.executable, "-m", "cassiahaven_cli.main", *arguments]
+    return subprocess.run(command, env=environ, capture_output=True, text=True, check=False)
+
+
+@pytest.mark.parametrize("arguments", [[], ["table"], ["table", "get"]])
+def test_help_needs_no_variables(arguments):
+    # Help failed with "set CASSIAHAVEN_ENTRIES and ...", and whoever needs help has not set them.
+    done = run_without_variables(*arguments, "--help")
+    assert done.returncode == 0
+    assert "cassiahaven" in done.stdout + done.stderr
+
+
+def test_command_without_variables_names_them():
+    done = run_without_variables("status")
+    assert done.returncode == 2
+    assert done.stderr == "cassiahaven: set CASSIAHAVEN_ENTRIES and CASSIAHAVEN_OPERATOR_KEY\n"
