--- a/tests/test_answer_scripts.py
+++ b/tests/test_answer_scripts.py
@@ -6,10 +6,16 @@
 from hypothesis import HealthCheck, given, settings
 from hypothesis import strategies as st
 
-from cassiahaven_standins.answer_framing import FRAMING_BY_NAME, FramedAnswer
+from cassiahaven_entry.repeated_answer import ends_within_head
+from cassiahaven_standins.answer_framing import (
+    FRAMING_BY_NAME,
+    INVALID_STATUS_LINES,
+    FramedAnswer,
+)
 from cassiahaven_standins.answer_scripts import (
     SIGNATURE,
     End,
+    Reading,
     ScriptedAnswer,
     new_script,
     script_runner,
@@ -133,6 +139,35 @@
     assert runner.results([[exchange("t.0", two_ids)]]) == [[None]]
 
 
+@pytest.mark.parametrize("place", ["call", "stream", "upload", "behind an interim answer"])
+def test_response_with_an_invalid_status_is_not_passed_on(runner, place):
+    # Callers got 600 and 999 as whole answers, and ``2_00`` as 200.
+    size = 200_000 if place == "stream" else 3
+    method = "POST" if place == "upload" else "GET"
+    interim = b"HTTP/1.1 100 Continue\r\n\r\n" if place.startswith("behind") else b""
+    scripts = []
+    for number, line in enumerate(INVALID_STATUS_LINES):
+        calls = [f"v{number}.{position}" for position in range(2)]
+        answer = FRAMING_BY_NAME["length"].encode(
+            "200 OK", headers_for(calls[0]), b"b" * size, interim=interim
+        )
+        spoiled = exchange(calls[0], answer.with_status_line(line).data, method=method)
+        if place == "upload":
+            spoiled.call["body_bytes"] = 20_000
+            spoiled.reading = Reading.AFTER
+        scripts.append([spoiled, exchange(calls[1], encode(calls[1], b"own"))])
+    assert runner.results(scripts) == [[None, handed_out(200, b"own")]] * len(scripts)
+
+
+def test_interim_answer_with_an_invalid_status_is_not_skipped(runner):
+    # ``1_00`` was skipped as an interim answer, and what followed passed for the answer.
+    scripts = []
+    for status in ("1_00", "+100", "0100", "099"):
+        interim = f"HTTP/1.1 {status} Continue\r\n\r\n".encode()
+        scripts.append([exchange(f"w{status}.0", interim + encode(f"w{status}.0", b"body"))])
+    assert runner.results(scripts) == [[None]] * len(scripts)
+
+
 def test_answer_cut_in_a_chunk_does_not_end_within_the_one_behind_it(runner):
     # The chunk took the start of the second head, whose length of 0 was read as the last chunk.
     body = b"abcdefghij" * 40
@@ -181,13 +216,58 @@
     assert results == [[handed_out(200, quoted)]]
 
 
-def test_body_that_a_second_head_fills_to_its_end_is_not_passed_on(runner):
+@pytest.mark.parametrize("framing", ["length", "length, closes", "length, HTTP/1.0"])
+def test_body_that_a_second_head_fills_to_its_end_is_not_passed_on(runner, framing):
     # The first body was complete before the second head's id arrived, which alone shows it.
     body = b"abcdefghij" * 10
     scripts = []
     for missing in range(1, len(body) + 1):
         call_id = f"z{missing:03}.0"
+        answer = encode(call_id, body, framing=framing)
+        first = answer[:-missing] + answer[:missing]
+        scripts.append([exchange(call_id, first, PAUSE_S, answer[missing:], end=End.CLOSE)])
+    assert runner.results(scripts) == [[None]] * len(scripts)
+
+
+def test_streamed_body_that_a_second_head_fills_to_its_end_is_not_passed_on(runner):
+    # The second head lay in the last part of a long body and behind it.
+    body = b"abcdefghij" * 20_000
+    scripts = []
+    for missing in (1, 8, 40, 90):
+        call_id = f"y{missing:03}.0"
         answer = encode(call_id, body)
         first = answer[:-missing] + answer[:missing]
         scripts.append([exchange(call_id, first, PAUSE_S, answer[missing:], end=End.CLOSE)])
     assert runner.results(scripts) == [[None]] * len(scripts)
+
+
+HEAD = b"HTTP/1.1 200 OK\r\nRequest-Id: q\r\nContent-Length: 4\r\n\r\n"
+
+
+@pytest.mark.parametrize("end", [End.KEEP, End.CLOSE, End.SILENCE])
+def test_body_that_ends_like_the_start_of_a_head_is_passed_on(runner, end):
+    # Such a body waits for the rest of the head, and none arrives, or that of another request.
+    scripts = []
+    for size in range(1, len(HEAD) + 1):
+        call_id = f"q{size:03}.0"
+        body = b"quotes " + HEAD[:size]
+        late = encode("other", b"late") if end is End.KEEP else b""
+        scripts.append([exchange(call_id, encode(call_id, body), late, end=end)])
+    expected = [[handed_out(200, b"quotes " + HEAD[: size + 1])] for size in range(len(HEAD))]
+    assert runner.results(scripts) == expected
+
+
+@pytest.mark.parametrize(
+    "body", [b"", b'{"a": 1}', b"end\n", b"HTTP/1.1 is old", HEAD, HEAD + b"{}"]
+)
+def test_body_that_ends_unlike_a_head_does_not_wait(body):
+    # Waiting behind each body would delay every success.
+    assert not ends_within_head(body)
+    assert ends_within_head(body + HEAD[:-1])
+
+
+def test_body_that_ends_like_a_head_does_not_wait_beyond_its_deadline(runner):
+    # The call was answered in time, so its caller gets the answer before the deadline.
+    script = [exchange("d.0", encode("d.0", b"H"), end=End.SILENCE)]
+    script[0].call["timeout_ms"] = 60.0
+    assert runner.results([script]) == [[handed_out(200, b"H")]]
--- a/tests/test_platform_store.py
+++ b/tests/test_platform_store.py
@@ -1,6 +1,8 @@
 """The client of the platform's store: lost answers, and changes while a list is read."""
 
 import json
+import socket
+import threading
 from urllib.parse import parse_qs, urlsplit
 
 import pytest
@@ -12,6 +14,7 @@
 from cassiahaven_entry.metrics import Metrics
 from cassiahaven_entry.store_feed import StoreFeed
 from cassiahaven_platform.store import PlatformStore
+from cassiahaven_standins.answer_framing import INVALID_STATUS_LINES, LengthFraming, send_cut
 from cassiahaven_standins.platform_store import PlatformStore as StoreStandin
 
 CONTACT_MS = 3000.0  # after a disturbance of the store, entries have to keep every time limit
@@ -303,3 +306,24 @@
     with pytest.raises(ChangeSeen):
         feed.follow(Topic.ENDPOINTS)
     assert seen == [(0, True, True), (1, True, False)]
+
+
+@pytest.mark.parametrize("line", INVALID_STATUS_LINES)
+def test_answer_with_an_invalid_status_is_no_answer(line):
+    # A status of ``2_00`` was taken for 200, so an invalid list replaced the endpoints.
+    body = b'{"items":[],"more":false,"storeRevision":7}'
+    answer = LengthFraming().encode("200 OK", {}, body)
+    with socket.create_server(("127.0.0.1", 0)) as listener:
+
+        def serve():
+            for data in (answer.with_status_line(line).data, answer.data):
+                connection, _ = listener.accept()
+                connection.recv(65536)
+                send_cut(connection, data, resets=False)
+
+        threading.Thread(target=serve, daemon=True).start()
+        port = listener.getsockname()[1]
+        store = PlatformStore(SocketAddress("127.0.0.1", port), "edge-a", Metrics())
+        with pytest.raises(StoreUnavailable):
+            store.read(Topic.ENDPOINTS)
+        assert store.read(Topic.ENDPOINTS).revision == 7
