Skip the count of accounts where there are none

Cause: each decision looked up every partner in two empty windows. Change: `FairService.is_behind` returns at once without counts.

--- a/packages/cassiahaven-core/cassiahaven_core/fair_service.py
+++ b/packages/cassiahaven-core/cassiahaven_core/fair_service.py
@@ -114,6 +114,8 @@
         Its calls at endpoints count as served: once enough of them are on their way, other
         accounts need not wait for their ends.
         """
+        if not self._window.asked:
+            return False
         running = self._running_by_account.get(account, 0)
         return self._short_window.is_behind(account, running) or self._window.is_behind(
             account, running
