Reserve all calls that a silent entry may still admit

A silent entry's share was estimated from its latest rate, though it may go by an earlier, larger one that it sent. A restarted entry's unreported calls were forgotten. A confirmation could arrive before the claims of calls that its sender had admitted.

A process keeps its reserve after its entry restarts. Each message holds all calls that were not reported.

--- a/packages/cassiahaven-core/cassiahaven_core/usage_cap.py
+++ b/packages/cassiahaven-core/cassiahaven_core/usage_cap.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass, field
 from enum import Enum
 from math import exp
-from typing import TypeAlias
+from typing import Any, TypeAlias
 
 from cassiahaven_core.account import ClientAccount
 from cassiahaven_core.routed_settings import UsageCapBounds
@@ -126,6 +126,7 @@
     Attributes:
         heard: Number of the last message that it received of each process.
         is_minor: Whether it gets no share, since too many entries have claims.
+        rates_by_account: Its claimed rates within ``CLAIM_HOLD_MS``, with their times.
         reserve_by_account: Calls that it may have admitted since it fell silent; empty before.
     """
 
@@ -135,11 +136,20 @@
     heard: dict[str, int]
     is_minor: bool = False
     claim_by_account: dict[str, tuple[Claim, float]] = field(default_factory=dict)
+    rates_by_account: dict[str, deque[tuple[float, float]]] = field(default_factory=dict)
     reserve_by_account: dict[str, float] = field(default_factory=dict)
 
     def is_silent(self, now_ms: float) -> bool:
         return now_ms - self.heard_ms > SILENT_MS
 
+    def add(self, account: str, claim: Claim, now_ms: float) -> None:
+        """Record a claim."""
+        self.claim_by_account[account] = (claim, now_ms)
+        rates = self.rates_by_account.setdefault(account, deque())
+        rates.append((now_ms, claim.rate_per_s))
+        while now_ms - rates[0][0] > CLAIM_HOLD_MS:
+            rates.popleft()
+
     def claim(self, account: str) -> Claim | None:
         """Return its last claim on an account, ``None`` if the account is idle there."""
         known = self.claim_by_account.get(account)
@@ -202,6 +212,10 @@
         self.reported_ms = float("-inf")
         self.promised_ms = float("-inf")
 
+    @property
+    def has_unreported(self) -> bool:
+        return not self.reports or self.reports[-1].total < self.admitted.total
+
     def ask(self, now_ms: float) -> None:
         self.rate_per_s = self.smoothed(now_ms) + MS_PER_S / SMOOTHING_MS
         self.rated_ms = now_ms
@@ -382,6 +396,10 @@
         if not self._usage_by_account or not (due or is_reply_due or is_pulse_due):
             return None
         self._is_full_due = False
+        # Others take a confirmation to mean that they know all calls before it.
+        for name, usage in self._usage_by_account.items():
+            if usage.has_unreported:
+                due[name] = usage
         return self._report(due, now_ms)
 
     def known_claims(self, now_ms: float) -> list[Claims]:
@@ -434,7 +452,7 @@
         peer.reserve_by_account.clear()
         self._is_reply_due |= claims.is_urgent and not is_minor
         for name, claim in claims.claim_by_account.items():
-            peer.claim_by_account[name] = (claim, now_ms)
+            peer.add(name, claim, now_ms)
 
     def confirm_join(self, number: int, now_ms: float) -> None:
         """Record that a watcher knows the claims with which this entry joins, and all others."""
@@ -503,13 +521,33 @@
         known = {
             peer.entry: peer.claim_by_account[account][0]
             for peer in self._peer_by_process.values()
-            if account in peer.claim_by_account
+            if account in peer.claim_by_account and not self._is_superseded(peer)
         }
         usage = self._usage_by_account.get(account)
         if usage is not None:
             known[self._entry] = self._claim(usage, now_ms)
         return known
 
+    def to_plain(self, now_ms: float) -> dict[str, Any]:
+        """Return the use of each account with claims and where its shares lie, as far as known."""
+        plain = {}
+        for name, item in sorted(self.account_by_name.items()):
+            claims = self.claims_by_entry(name, now_ms)
+            rates = sum(claim.rate_per_s for claim in claims.values())
+            if not claims:
+                continue
+            plain[name] = {
+                "rate_per_s": item.rate_per_s,
+                "burst": item.burst,
+                "used": self.used(name, now_ms),
+                "quota": self.quota(name),
+                "share_by_entry": {
+                    entry: round(claim.rate_per_s / rates, 3) if rates > 0 else 0.0
+                    for entry, claim in sorted(claims.items())
+                },
+            }
+        return plain
+
     def oldest_claim_ms(self, now_ms: float) -> float:
         """Return the age of the oldest claims that count, 0 if there are none."""
         ages = (now_ms - peer.heard_ms for peer in self._peer_by_process.values())
@@ -551,9 +589,9 @@
             if claim is None:
                 continue
             others_used += claim.used
-            if peer.is_minor or self._is_superseded(peer):
+            if peer.is_minor:
                 continue
-            if peer.is_silent(now_ms):
+            if peer.is_silent(now_ms) or self._is_superseded(peer):
                 others_used += self._reserve(account, usage, peer)
                 continue
             others_rate_per_s += claim.rate_per_s
@@ -576,7 +614,7 @@
         return _Room(quota, share, left, unconfirmed, total - expired + others_used)
 
     def _is_superseded(self, peer: _Peer) -> bool:
-        """Return whether the entry of a process was restarted, so that it sends no more calls."""
+        """Return whether the entry of a process was restarted, so that it admits no more calls."""
         return any(
             other.entry == peer.entry and other.heard_ms > peer.heard_ms
             for other in self._peer_by_process.values()
@@ -584,7 +622,7 @@
         )
 
     def _reserve(self, account: str, usage: _Usage, peer: _Peer) -> float:
-        """Return the calls that a silent process may admit before it stops.
+        """Return the calls that a silent or ended process may have admitted since its claims.
 
         These are its share of what was left of the cap, as it knew of it. The others may use the
         rest at once, without its confirmation.
@@ -592,18 +630,24 @@
         reserve = peer.reserve_by_account.get(account)
         if reserve is not None:
             return reserve
-        heard = peer.heard.get(self._process, 0)
-        reports = [report for report in usage.reports if report.number <= heard]
-        own = reports[-1].claim if reports else Claim(0.0, 0)
-        others = [
-            claim
-            for other in self._peer_by_process.values()
-            if (claim := other.claim(account)) is not None
-        ]
-        left = self.quota(account) - own.used - sum(claim.used for claim in others)
-        rates = own.rate_per_s + sum(claim.rate_per_s for claim in others)
-        claim = peer.claim_by_account[account][0]
-        reserve = max(0.0, left) * claim.rate_per_s / rates if rates > 0 else 0.0
+        number = peer.heard.get(self._process, 0)
+        # The last of the reports that it heard for sure; not every message holds this account.
+        first = max(
+            (n for n, item in enumerate(usage.reports) if item.number <= number), default=-1
+        )
+        reports = list(usage.reports)[first:] if first >= 0 else []
+        own_used = reports[0].claim.used if reports else 0
+        own_per_s = min((item.claim.rate_per_s for item in reports), default=0.0)
+        left, others_per_s = self.quota(account) - own_used, 0.0
+        for other in self._peer_by_process.values():
+            claim = other.claim(account)
+            if claim is not None:
+                left -= claim.used
+                others_per_s += claim.rate_per_s if other is not peer else 0.0
+        # It need not know which of its claims arrived here, and may go by the largest.
+        rate_per_s = max(rate for _, rate in peer.rates_by_account[account])
+        rates = own_per_s + others_per_s + rate_per_s
+        reserve = max(0.0, left) * rate_per_s / rates if rates > 0 else 0.0
         peer.reserve_by_account[account] = reserve
         return reserve
 
@@ -643,7 +687,7 @@
         heard = {
             process: peer.number
             for process, peer in self._peer_by_process.items()
-            if not peer.is_minor and not peer.is_silent(now_ms)
+            if not peer.is_minor
         }
         return Claims(
             self._entry, self._process, self._number, is_joining, is_urgent, heard, claims
@@ -651,16 +695,17 @@
 
     def _forget(self, now_ms: float) -> None:
         # A lost process stops after MAJORITY_MS; then its calls stay in the window.
-        hold_ms = MAJORITY_MS + self._bounds.window_ms
+        window_ms = self._bounds.window_ms
+        hold_ms = MAJORITY_MS + window_ms
         for process, peer in list(self._peer_by_process.items()):
             age_ms = now_ms - peer.heard_ms
-            is_gone = self._is_superseded(peer) and age_ms >= self._bounds.window_ms
+            is_gone = self._is_superseded(peer) and age_ms >= window_ms + SILENT_MS
             if is_gone or age_ms >= hold_ms:
                 del self._peer_by_process[process]
                 continue
             for name in list(peer.claim_by_account):
                 if peer.claim(name) is None:
-                    del peer.claim_by_account[name]
+                    del peer.claim_by_account[name], peer.rates_by_account[name]
         for name, usage in list(self._usage_by_account.items()):
             if usage.smoothed(now_ms) < IDLE_RATE_PER_S and not self._claim(usage, now_ms).used:
                 del self._usage_by_account[name]
