--- a/packages/cassiahaven-cli/cassiahaven_cli/report.py
+++ b/packages/cassiahaven-cli/cassiahaven_cli/report.py
@@ -59,6 +59,8 @@
     ]
     if "configuration" in plain:
         parts.append(_configuration_report(plain["configuration"]))
+    if plain.get("usage_caps"):
+        parts.append(_usage_caps_report(plain["usage_caps"]))
     for service, item in plain["services"].items():
         parts.append(_service_report(service, item))
     return "\n\n".join(parts)
@@ -80,6 +82,20 @@
     return f"{head}\n{columns(['table', 'row', 'why'], rejected)}" if rejected else head
 
 
+def _usage_caps_report(plain: dict[str, Any]) -> str:
+    rows = [
+        [
+            name,
+            item["rate_per_s"],
+            item["burst"],
+            f"{item['used']}/{item['quota']:g}",
+            " ".join(f"{entry}={share}" for entry, share in item["share_by_entry"].items()),
+        ]
+        for name, item in plain.items()
+    ]
+    return columns(["account", "calls a second", "burst", "used of quota", "shares"], rows)
+
+
 def _service_report(service: str, item: dict[str, Any]) -> str:
     revisions = " ".join(
         f"{entry}={revision}" for entry, revision in sorted(item["revision_by_entry"].items())
--- a/packages/cassiahaven-entry/cassiahaven_entry/routed_operators.py
+++ b/packages/cassiahaven-entry/cassiahaven_entry/routed_operators.py
@@ -11,6 +11,7 @@
 from cassiahaven_core.route import RouteRule
 from cassiahaven_core.table_codec import row_to_plain
 from cassiahaven_entry.caller_dialect import Environ
+from cassiahaven_entry.clock import boot_ms
 from cassiahaven_entry.operator_api_base import (
     BadRequest,
     BaseOperatorApi,
@@ -119,6 +120,7 @@
             "entries": sorted(entries, key=lambda item: item["name"]),
             "unreachable": sorted(node.fleet.member_by_name.keys() - live),
             "configuration": self._configuration_status(),
+            "usage_caps": node.usage.caps.to_plain(boot_ms()) if node.usage is not None else {},
             "services": {
                 name: self._service_status(name) for name in sorted(node.tables.table_by_service)
             },
