Name the time until an entry gets its share in Retry-After

Cause: on three real entries, calls that reached an unnamed entry before it had a share were refused with a Retry-After of 4.8 s, though they would have been admitted 0.6 s later.

Change: while calls are left of the quota, Retry-After is at most the time until claims are confirmed, plus the spacing of refused calls.

--- a/packages/cassiahaven-core/cassiahaven_core/usage_cap.py
+++ b/packages/cassiahaven-core/cassiahaven_core/usage_cap.py
@@ -39,6 +39,7 @@
 REACHED_HOLD_MS = 2000.0
 REACHED_REFRESH_MS = 1000.0
 MIN_RETRY_MS = 50.0
+CONFIRMED_MS = 600.0  # until a first claim, or a higher one, is confirmed and counts
 MAX_REPORTS = 64
 MAX_UNHEARD = 3  # messages that may be on their way
 # Messages grow with the square of the entries that share caps: calls of an account that are spread
@@ -733,6 +734,8 @@
             missing = (room.unconfirmed + 1) / room.share - room.left
             per_ms = max(room.known, 1) / window_ms
             waits_ms.append(missing / per_ms)
+        if room.known + 1 <= room.quota and self.is_in_contact(now_ms):
+            waits_ms.append(CONFIRMED_MS)
         opens_ms = now_ms + min(window_ms, max(MIN_RETRY_MS, min(waits_ms)))
         gap_ms = MS_PER_S / (account.rate_per_s * max(room.share, 1 / USUAL_NAMED))
         usage.promised_ms = max(opens_ms, min(usage.promised_ms + gap_ms, now_ms + window_ms))
--- a/packages/cassiahaven-core/tests/test_usage_cap.py
+++ b/packages/cassiahaven-core/tests/test_usage_cap.py
@@ -164,6 +164,15 @@
     assert all(0 < item.retry_after_ms <= BOUNDS.window_ms for _, item in late)
 
 
+def test_call_that_comes_before_its_entry_has_a_share_is_sent_away_for_a_window():
+    run = replay(62)
+    run.calls(62, (5,), START_MS, 1500)
+    run.run(1500)
+    assert run.refused
+    for _, _, _, decision in run.refused:
+        assert decision.retry_after_ms < 1500
+
+
 @pytest.fixture
 def caps():
     made = UsageCaps("a", "a-1", BOUNDS)
