--- a/packages/cassiahaven-cli/cassiahaven_cli/report.py
+++ b/packages/cassiahaven-cli/cassiahaven_cli/report.py
@@ -65,6 +65,8 @@
         parts.append(_configuration_report(plain["configuration"]))
     if plain.get("evacuated"):
         parts.append(f"evacuated availability zones: {', '.join(plain['evacuated'])}")
+    if plain.get("usage_caps"):
+        parts.append(_usage_caps_report(plain["usage_caps"]))
     for service, item in plain["services"].items():
         parts.append(_service_report(service, item))
     return "\n\n".join(parts)
@@ -105,6 +107,20 @@
     return f"{reason}; cold for {cold_ms / 1000:.1f} s more" if cold_ms else reason
 
 
+def _usage_caps_report(plain: dict[str, Any]) -> str:
+    rows = [
+        [
+            name,
+            item["rate_per_s"],
+            item["burst"],
+            f"{item['used']}/{item['quota']:g}",
+            " ".join(f"{entry}={share}" for entry, share in item["share_by_entry"].items()),
+        ]
+        for name, item in plain.items()
+    ]
+    return columns(["account", "calls a second", "burst", "used of quota", "shares"], rows)
+
+
 def _service_report(service: str, item: dict[str, Any]) -> str:
     revisions = " ".join(
         f"{entry}={revision}" for entry, revision in sorted(item["revision_by_entry"].items())
