Let calls wait at the entry when other entries fill their endpoint

Entries learn of each other's calls at an endpoint only by reports, and a call whose probe found its endpoint full was sent there all the same if no other one was better. After a surge, all endpoints stayed overfilled with queues of their own, where no priority holds, and nearly no call was in time until long after the surge.

A call whose endpoint is reported full before it is sent is now placed again, and the endpoint is asked again after a quarter of a call's usual time. Where endpoints reset or turned away calls within the last minute, calls that must not run twice leave one more slot free at endpoints that other entries use. The trial of an ejected endpoint ends if its call is placed again.

--- a/benchmarks/scarcity.py
+++ b/benchmarks/scarcity.py
@@ -150,7 +150,6 @@
     deadline_ms: float
     refusals: int = 0
     tried: frozenset[str] = frozenset()
-    is_unknown: bool = False
 
 
 class Replay:
@@ -173,6 +172,7 @@
         self.loop = EventLoop()
         self.result_by_kind: dict[str, KindResult] = defaultdict(KindResult)
         self.resets = 0
+        self.probes = 0
         self.reasons: Counter[str] = Counter()
         self.served_at: dict[str, list[float]] = defaultdict(list)
         self.endpoint_by_name: dict[str, ScarceEndpoint] = {}
@@ -322,6 +322,9 @@
         now_ms = self.loop.now_ms
         policy = self.policy_by_zone[zone]
         name = self._probe(policy, call, sent, effect.address.endpoint)
+        if self._was_found_full(policy, call, name):
+            self._apply(zone, policy.place_again(call, name, sent.tried, now_ms))
+            return
         sent.tried |= {name}
         policy.pool.mark_sent(name, call.call_id)
         endpoint = self.endpoint_by_name[name]
@@ -360,12 +363,20 @@
         for _ in range(MOST_PROBES):
             if not policy.try_spend_probe(name, now_ms):
                 break
+            self.probes += 1
             better = policy.apply_probe(call, name, self._report(name), now_ms, tried=sent.tried)
             if better is None:
                 break
             name = better.address.endpoint
         return name
 
+    def _was_found_full(self, policy: ServicePolicy, call: WaitingCall, name: str) -> bool:
+        # Earlier versions of the policy send the call to the endpoint's own queue.
+        check = getattr(policy.pool, "was_found_full", None)
+        if check is None:
+            return False
+        return check(name, call.call_id, self.loop.now_ms, idempotent=call.idempotent)
+
     def _report(self, name: str) -> LoadReport | ProbeFailed:
         endpoint = self.endpoint_by_name[name]
         if endpoint.is_unreachable:
--- a/packages/cassiahaven-core/cassiahaven_core/endpoint_gate.py
+++ b/packages/cassiahaven-core/cassiahaven_core/endpoint_gate.py
@@ -59,6 +59,7 @@
         room: Calls that the endpoint is believed to take, lowered by each unanswered one.
         reopening_room: Calls in flight admitted after an ejection, one more for each success;
             ``None`` at other times.
+        full_until_ms: Time until which it is believed to be filled by calls of other entries.
         rate_limit: This entry's share of the rate limit that it names, ``None`` for none.
         sent_ms: When this entry sent each of its calls within ``WINDOW_MS``.
         rate_limit_changed_ms: When this entry last learned of another rate limit.
@@ -70,6 +71,7 @@
     limit: int = 0
     room: float = math.inf
     reopening_room: int | None = None
+    full_until_ms: float = float("-inf")
     rate_limit: RateLimit | None = None
     sent_ms: deque[float] = field(default_factory=deque)
     rate_limit_changed_ms: float = float("-inf")
--- a/packages/cassiahaven-core/cassiahaven_core/pool.py
+++ b/packages/cassiahaven-core/cassiahaven_core/pool.py
@@ -6,6 +6,7 @@
 
 from cassiahaven_core.endpoint import (
     FAILED_RESULTS,
+    FULL_TOLERANCE_SLOTS,
     NOT_RUN_RESULTS,
     CallResult,
     Endpoint,
@@ -40,6 +41,9 @@
 BASE_EJECTION_MS = 1000.0  # an endpoint is to be back in use within 2 s of its recovery
 MAX_EJECTION_MS = 30_000.0
 MAX_EJECTED_SHARE = 0.5
+LOST_WHEN_FULL_RESULTS = frozenset({CallResult.CONNECTION_LOST, CallResult.REFUSED})
+FULL_LOSS_MEMORY_MS = 60_000.0  # several times as long as a surge of the load
+FULL_RECHECK_SHARE = 0.25  # of the usual time of a call
 CALL_TRIAL_HEAD_START_MS = 200.0  # a trial by an idempotent call tells more than one by a probe
 # Bounds the retries that trials cost while many endpoints are out; probes try the others.
 CALL_TRIAL_INTERVAL_MS = 200.0
@@ -79,6 +83,7 @@
         "_left_zone",
         "_ejected",
         "_call_trial_from_ms",
+        "_lost_when_full_ms",
         "_serving",
         "_typical_slowdown",
         "_slot_limit",
@@ -98,6 +103,7 @@
         self._left_zone: ZoneReason | None = None
         self._ejected: set[str] = set()
         self._call_trial_from_ms = float("-inf")
+        self._lost_when_full_ms = float("-inf")
         self._serving: list[Endpoint] = []
         self._typical_slowdown = 1.0
         self._slot_limit = AdaptiveSlotLimit()
@@ -209,6 +215,29 @@
             return False
         return endpoint.is_serving or endpoint.status is EndpointStatus.TRIAL
 
+    def was_found_full(
+        self, name: str, call_id: str, now_ms: float, *, idempotent: bool = True
+    ) -> bool:
+        """Return whether the calls of other entries fill a call's endpoint, as reported since.
+
+        Args:
+            name: The endpoint that the call is counted at, but not sent to.
+            call_id: The call.
+            now_ms: Current time, milliseconds.
+            idempotent: Whether the call may run twice.
+        """
+        endpoint = self.endpoint_by_id.get(name)
+        started = endpoint.in_flight_by_call_id.get(call_id) if endpoint is not None else None
+        if started is None or endpoint.reported_at_ms < started.at_ms:
+            return False
+        spare = 0 if idempotent else self._spare_slots(now_ms)
+        if not self._is_full(endpoint, now_ms, spare=spare, counted=1):
+            return False
+        # About the time until some of its calls end; asking earlier would only cost probes.
+        recheck_ms = self.typical_latency_ms(started.partner) * FULL_RECHECK_SHARE
+        endpoint.gate.full_until_ms = now_ms + recheck_ms
+        return True
+
     def has_serving_endpoint(self) -> bool:
         """Return whether any endpoint accepts new calls."""
         return bool(self._serving)
@@ -345,6 +374,7 @@
             if trial is not None:
                 return trial
         home = HomeZone()
+        spare = 0 if need.may_run_twice else self._spare_slots(now_ms)
         best: Endpoint | None = None
         best_cost = float("inf")
         for endpoint in self._serving:
@@ -355,7 +385,7 @@
                 home.slots += limit
             if len(endpoint.in_flight_by_call_id) >= limit:
                 continue
-            if distance_ms and not self.placement.has_spare_slot(endpoint, now_ms):
+            if self._is_full(endpoint, now_ms, spare=spare):
                 continue
             if gate.closure is not None and not gate.closure.admits(endpoint.started_ms(), now_ms):
                 continue
@@ -454,6 +484,8 @@
             result is CallResult.TIMEOUT and self._is_unexplained(endpoint, started, now_ms)
         ):
             endpoint.gate.room = max(1.0, min(endpoint.gate.room, float(endpoint.in_flight)))
+        if result in LOST_WHEN_FULL_RESULTS and started.is_nearly_full:
+            self._lost_when_full_ms = now_ms
         if result is CallResult.OK:
             self._record_success(endpoint, started, now_ms)
         elif result is CallResult.REFUSED and endpoint.gate.closed_for_ms(now_ms):
@@ -462,6 +494,8 @@
                 self.handle(name, EndpointEvent.FAILING, "closed itself", now_ms)
         elif result in FAILED_RESULTS:
             self._record_failure(endpoint, result, now_ms)
+        elif endpoint.status is EndpointStatus.TRIAL and not started.is_sent:
+            self._end_trial_unsent(endpoint, now_ms)
         elif endpoint.status is EndpointStatus.TRIAL:
             self.handle(name, EndpointEvent.FAILING, "trial cancelled", now_ms)
         endpoint.tie_break = self._tie_break()
@@ -475,6 +509,7 @@
         endpoint.reported_at_ms = now_ms
         own = sum(started.is_sent for started in endpoint.in_flight_by_call_id.values())
         endpoint.others_in_flight = max(0, report.running + report.waiting - own)
+        endpoint.gate.full_until_ms = float("-inf")
         self._typical_slowdown += SLOWDOWN_EWMA_ALPHA * (report.slowdown - self._typical_slowdown)
 
     def apply_rate_limit(
@@ -595,6 +630,34 @@
         cost = endpoint.cost(self._typical_slowdown, now_ms)
         return self.placement.weigh(cost, need, endpoint.address.distance_ms)
 
+    def _spare_slots(self, now_ms: float) -> int:
+        """Return the slots that a call that must not run twice leaves free at shared endpoints.
+
+        Entries learn of each other's calls only by reports, so two may send to the last slot at
+        once. That matters where endpoints lately reset or turned away calls when they were full.
+        """
+        return int(now_ms - self._lost_when_full_ms < FULL_LOSS_MEMORY_MS)
+
+    def _is_full(self, endpoint: Endpoint, now_ms: float, *, spare: int, counted: int = 0) -> bool:
+        """Return whether the calls of other entries leave no slot for one more call.
+
+        Args:
+            endpoint: The endpoint.
+            now_ms: Current time, milliseconds.
+            spare: Slots to leave free if other entries send to the endpoint.
+            counted: 1 if the call is counted at the endpoint already.
+        """
+        if not counted and now_ms < endpoint.gate.full_until_ms:
+            return True
+        others = endpoint.decayed_others_in_flight(now_ms)
+        taken = endpoint.in_flight + others - counted
+        most = self._slot_limit.limit(endpoint.address.slots)
+        if spare and (endpoint.others_in_flight or endpoint.address.distance_ms):
+            most = max(1, most - spare)
+        if endpoint.address.distance_ms:
+            return not self.placement.has_spare_slot(taken, most)
+        return others >= 1 - FULL_TOLERANCE_SLOTS and taken + 1 > most + FULL_TOLERANCE_SLOTS
+
     def _tie_break(self) -> float:
         return 1 + TIE_BREAK * self._rng.random()
 
--- a/packages/cassiahaven-core/cassiahaven_core/service.py
+++ b/packages/cassiahaven-core/cassiahaven_core/service.py
@@ -308,6 +308,7 @@
             max(0.0, call.target_at_ms - now_ms),
             call.body_bytes,
             now_ms - call.arrived_ms if may_wait else math.inf,
+            call.idempotent,
         )
 
     def _start(self, call: WaitingCall, endpoint: Endpoint, now_ms: float) -> None:
--- a/packages/cassiahaven-core/cassiahaven_core/zone_placement.py
+++ b/packages/cassiahaven-core/cassiahaven_core/zone_placement.py
@@ -30,6 +30,7 @@
         latency_ms: Usual time of such calls.
         left_ms: Time left until the call misses its latency target.
         body_bytes: Bytes of its body, which cross the zones if it leaves.
+        may_run_twice: Whether the call may run at two endpoints.
         waited_ms: Time that it has waited, ``inf`` if it must not wait for its own zone.
     """
 
@@ -37,6 +38,7 @@
     left_ms: float = math.inf
     body_bytes: int = 0
     waited_ms: float = math.inf
+    may_run_twice: bool = True
 
 
 ANY_NEED = CallNeed()
@@ -99,13 +101,16 @@
         wait_ms = need.waited_ms + need.latency_ms / home.slots
         return wait_ms < min(self.crossing_ms(need), need.left_ms - need.latency_ms)
 
-    def has_spare_slot(self, endpoint: Endpoint, now_ms: float) -> bool:
+    def has_spare_slot(self, taken: float, most: int) -> bool:
         """Return whether an endpoint of another zone has a slot that its own callers leave free.
 
         The last slots are left to the callers of its zone: filling them slows their calls as well.
+
+        Args:
+            taken: Calls at the endpoint from all entries, as far as they are known.
+            most: Slots that are worth filling.
         """
-        taken = endpoint.in_flight + endpoint.decayed_others_in_flight(now_ms)
-        return taken + 1 <= max(1.0, endpoint.address.slots * NEARLY_FULL_SHARE)
+        return taken + 1 <= max(1.0, most * NEARLY_FULL_SHARE)
 
     def reason(self, home: HomeZone) -> ZoneReason:
         """Return why a call leaves the zone."""
--- /dev/null
+++ b/packages/cassiahaven-core/tests/test_full_endpoints.py
@@ -0,0 +1,61 @@
+"""Endpoints that the calls of several entries fill, without a network."""
+
+from dataclasses import replace
+
+import pytest
+
+from benchmarks.scarcity import SCENARIOS, Replay
+from cassiahaven_core.endpoint import CallResult, LoadReport
+from cassiahaven_core.lifecycle import EndpointStatus
+from cassiahaven_core.pool import FULL_RECHECK_SHARE, Pool
+
+[SURGE] = [item for item in SCENARIOS if item.name == "surge"]
+
+
+@pytest.mark.parametrize("seed", [1, 2])
+def test_surge_leaves_calls_waiting_at_the_entries_and_not_at_the_endpoints(seed, monkeypatch):
+    """Guards against 2.2 times the load for 6 s that keeps endpoints overfilled long after it."""
+    replay = Replay(SURGE, seed).run()
+    monkeypatch.setattr(Pool, "was_found_full", lambda *args, **kwargs: False)
+    before = Replay(SURGE, seed).run()
+    assert replay.share_in_time() > before.share_in_time() + 0.15
+    assert replay.worst_seconds() > before.worst_seconds() + 0.2
+    assert replay.total("served") > before.total("served")
+
+
+@pytest.mark.parametrize(("queue", "most_unknown"), [(0, 15), (1, 0)])
+def test_payments_do_not_reach_full_endpoints_that_reset_connections(queue, most_unknown):
+    """Guards against unknown outcomes of calls that must not run twice (54 and 21 before)."""
+    replay = Replay(replace(SURGE, queue=queue), 1).run()
+    assert replay.result_by_kind["payment"].unknown <= most_unknown
+
+
+def test_call_that_finds_its_endpoint_full_waits_and_asks_again_after_a_while(
+    make_policy, make_call
+):
+    """Guards against calls in an endpoint's own queue, where no priority holds."""
+    policy = make_policy(endpoints=1, slots=3)
+    policy.pool.typical_latency_ms_by_partner["parish"] = 100.0
+    [_] = policy.submit(make_call("call"), 0.0)
+    assert policy.apply_probe(make_call("call"), "e0", LoadReport(3), 1.0) is None
+    assert policy.pool.was_found_full("e0", "call", 1.0)
+    assert policy.place_again(make_call("call"), "e0", frozenset(), 1.0) == []
+    assert policy.admission.waiting == 1
+    recheck_ms = 1.0 + 100.0 * FULL_RECHECK_SHARE
+    policy.pool.report_load("e0", LoadReport(2), recheck_ms)
+    assert [item.call_id for item in policy.tick(recheck_ms)] == ["call"]
+
+
+def test_trial_of_a_full_endpoint_ends_when_its_call_is_placed_again(make_policy, make_call):
+    """Guards against a call that is given the same trial again and again without end."""
+    policy = make_policy(endpoints=2, slots=3)
+    for number in range(3):
+        policy.pool.start(policy.pool.endpoint_by_id["e0"], str(number), "parish", 0.0)
+        policy.pool.finish("e0", str(number), CallResult.REFUSED, 0.0)
+    policy.pool.report_load("e1", LoadReport(3), 1500.0)
+    trial = make_call("trial", arrived_ms=1500.0, deadline_ms=9000.0)
+    [effect] = policy.submit(trial, 1500.0)
+    assert policy.pool.endpoint_by_id["e0"].status is EndpointStatus.TRIAL
+    policy.apply_probe(trial, effect.address.endpoint, LoadReport(3, 6), 1500.0)
+    assert policy.pool.was_found_full("e0", "trial", 1500.0)
+    assert policy.place_again(trial, "e0", frozenset(), 1500.0) == []
--- a/packages/cassiahaven-entry/cassiahaven_entry/attempts.py
+++ b/packages/cassiahaven-entry/cassiahaven_entry/attempts.py
@@ -118,9 +118,9 @@
                 call.note("waited", f"{effect.waited_ms:.1f} ms for a free slot")
             effect = self._choose_endpoint(call, task, effect, frozenset(tried))
             address = effect.address
-            if not task.policy.pool.may_send(address, now_ms()):
-                # It was delisted, closed itself or said that it leaves since the call was assigned.
-                call.note("placed again", f"{address.endpoint} takes no more calls")
+            unfit = self._unfit(call, task, address)
+            if unfit is not None:
+                call.note("placed again", f"{address.endpoint} {unfit}")
                 self._metrics.placed_again.labels(call.service).inc()
                 effect = task.place_again(call.waiting, address.endpoint, frozenset(tried))
                 continue
@@ -172,6 +172,17 @@
             chosen, address = better, better.address
         return chosen
 
+    def _unfit(self, call: Call, task: ServiceTask, address: EndpointAddress) -> str | None:
+        """Return why a call must not be sent to the endpoint that it is assigned to, if so."""
+        pool = task.policy.pool
+        if not pool.may_send(address, now_ms()):
+            # It was delisted, closed itself or said that it leaves since the call was assigned.
+            return "takes no more calls"
+        is_full = pool.was_found_full(
+            address.endpoint, call.call_id, now_ms(), idempotent=call.waiting.idempotent
+        )
+        return "is filled by other entries" if is_full else None
+
     def _note_zone(self, call: Call, effect: Dispatch) -> None:
         """Log and count a call that leaves the zone of this entry."""
         if effect.left_zone is not None:
