Learn the cost of the last slots from calls beside free slots

The latency in an endpoint's last slots was compared with the typical latency of all calls. During a long overload all calls run in last slots, the typical latency rises to theirs, and the slots seemed to cost nothing: the limit went back to all slots although these serve fewer calls.

The comparison is now with calls that ran while slots were free, which is kept while there are none.

--- a/packages/cassiahaven-core/cassiahaven_core/pool.py
+++ b/packages/cassiahaven-core/cassiahaven_core/pool.py
@@ -78,6 +78,7 @@
         "is_held_at_home",
         "typical_latency_ms_by_partner",
         "_answers_by_partner",
+        "_relaxed_latency_ms_by_partner",
         "_share",
         "_rng",
         "_left_zone",
@@ -97,6 +98,7 @@
         self.placement = ZonePlacement()
         self.typical_latency_ms_by_partner: dict[str, float] = {}
         self._answers_by_partner: Counter[str] = Counter()
+        self._relaxed_latency_ms_by_partner: dict[str, float] = {}
         self._share = share
         self._rng = rng or Random()
         self.is_held_at_home = False
@@ -677,7 +679,7 @@
         is_nearly_full = taken > endpoint.address.slots * NEARLY_FULL_SHARE
         # Skip the sample if the endpoint crossed the threshold while the call was running.
         if is_nearly_full == started.is_nearly_full:
-            self._slot_limit.learn(ratio, is_nearly_full=is_nearly_full)
+            self._learn_slot_limit(started.partner, took_ms, is_nearly_full=is_nearly_full)
         slowness = endpoint.decayed_slowness(now_ms)
         smoothed = slowness + SLOWNESS_EWMA_ALPHA * (ratio - slowness)
         endpoint.slowness = max(MIN_SLOWNESS, smoothed)
@@ -693,6 +695,22 @@
             endpoint.ejections = 0
             self.handle(name, EndpointEvent.WARMED, "warmed up", now_ms)
 
+    def _learn_slot_limit(self, partner: str, took_ms: float, *, is_nearly_full: bool) -> None:
+        """Compare a call with calls that ran beside free slots.
+
+        Under a long overload, all calls are slow, and the typical latency no longer shows what the
+        last slots cost.
+        """
+        relaxed_ms = self._relaxed_latency_ms_by_partner.get(partner)
+        if relaxed_ms is None:
+            relaxed_ms = self.typical_latency_ms(partner)
+        self._slot_limit.learn(took_ms / relaxed_ms, is_nearly_full=is_nearly_full)
+        if not is_nearly_full:
+            self._relaxed_latency_ms_by_partner[partner] = max(
+                MIN_TYPICAL_LATENCY_MS,
+                relaxed_ms + PARTNER_LATENCY_EWMA_ALPHA * (took_ms - relaxed_ms),
+            )
+
     def _is_unexplained(self, endpoint: Endpoint, started: InFlightCall, now_ms: float) -> bool:
         """Return whether an unanswered call waited longer than its work can take.
 
--- a/packages/cassiahaven-core/tests/test_full_endpoints.py
+++ b/packages/cassiahaven-core/tests/test_full_endpoints.py
@@ -59,3 +59,17 @@
     policy.apply_probe(trial, effect.address.endpoint, LoadReport(3, 6), 1500.0)
     assert policy.pool.was_found_full("e0", "trial", 1500.0)
     assert policy.place_again(trial, "e0", frozenset(), 1500.0) == []
+
+
+def test_slot_limit_holds_during_a_long_overload():
+    """Guards against latencies learned under overload, by which no slot seems to cost anything."""
+    replay = Replay(replace(SURGE, demand=lambda zone, at_ms: 2.2, duration_ms=25_000.0), 1)
+    limits = []
+
+    def look():
+        limits.extend(p.pool._slot_limit.limit(3) for p in replay.policy_by_zone.values())
+
+    for at_ms in range(12_000, 25_000, 1000):
+        replay.loop.call_at(float(at_ms), look)
+    replay.run()
+    assert limits.count(2) > 0.9 * len(limits)
