Tell refused callers a time of their own and serve them when they return

Refused callers were all told the time after which the queue would be empty, came back together and were refused once more. The expected wait also counted slots of other zones that other entries were using.

While calls wait, the expected wait now follows from the calls in flight. ReturnSchedule gives each refused caller a time after those told before, more urgent ones first, and none to those that would not wait so long. A call that returns at its time is known by its fingerprint, waits until its deadline, and counts as work ahead of new calls.

--- a/benchmarks/scarcity.py
+++ b/benchmarks/scarcity.py
@@ -289,6 +289,7 @@
             priority=kind.priority,
             target_at_ms=now_ms + kind.target_ms,
             body_bytes=kind.body_bytes,
+            return_key=str(id(sent)),
         )
         sent.tried = frozenset()
         self._waiting_by_id[call.call_id] = (call, sent)
--- a/packages/cassiahaven-core/cassiahaven_core/admission.py
+++ b/packages/cassiahaven-core/cassiahaven_core/admission.py
@@ -23,6 +23,8 @@
         work_class: Calls of similar work, which learned latencies are kept for; empty if they are
             those of the partner.
         body_bytes: Bytes of its body.
+        return_key: What a call has in common with the caller's repetition of it, empty if unknown.
+        has_returned: Whether its caller was refused before and came back when told.
     """
 
     call_id: str
@@ -37,6 +39,8 @@
     most_attempts: int = 3
     work_class: str = ""
     body_bytes: int = 0
+    return_key: str = ""
+    has_returned: bool = False
 
     @property
     def latency_class(self) -> str:
--- a/packages/cassiahaven-core/cassiahaven_core/pool.py
+++ b/packages/cassiahaven-core/cassiahaven_core/pool.py
@@ -330,6 +330,15 @@
             slots += limit
         return slots
 
+    def busy_slots(self) -> float:
+        """Return the calls of this entry in flight, if no endpoint limits or refuses them.
+
+        While calls wait, these are all slots that the other entries leave to this one.
+        """
+        if any(item.gate.rate_limit or item.gate.closure for item in self._serving):
+            return math.inf
+        return max(1.0, sum(item.in_flight for item in self._serving))
+
     def serving_rate_per_s(self) -> float:
         """Return the calls a second of this entry at all serving endpoints, if all are limited."""
         limits = [endpoint.gate.rate_limit for endpoint in self._serving]
--- a/packages/cassiahaven-core/cassiahaven_core/service.py
+++ b/packages/cassiahaven-core/cassiahaven_core/service.py
@@ -13,7 +13,11 @@
     ProbeFailed,
 )
 from cassiahaven_core.endpoint_address import EndpointAddress
-from cassiahaven_core.load_shedding import MIN_LATENCY_SHARE, unservable_calls
+from cassiahaven_core.load_shedding import (
+    MIN_LATENCY_SHARE,
+    ReturnSchedule,
+    unservable_calls,
+)
 from cassiahaven_core.pool import Pool
 from cassiahaven_core.rate_limit import MS_PER_S, UNLIMITED
 from cassiahaven_core.reason import RefusalReason, RetryReason
@@ -76,6 +80,7 @@
         "retry_budget",
         "probes_per_s",
         "_promised_ms",
+        "_returns",
     )
 
     def __init__(self, service: str, pool: Pool, admission: Admission) -> None:
@@ -85,6 +90,7 @@
         self.retry_budget = RetryBudget()
         self.probes_per_s = 0.0
         self._promised_ms = 0.0
+        self._returns = ReturnSchedule()
 
     def submit(self, call: WaitingCall, now_ms: float) -> list[Effect]:
         """Admit or refuse a new call.
@@ -94,9 +100,11 @@
         """
         if call.deadline_ms <= now_ms:
             return [Refuse(call.call_id, RefusalReason.DEADLINE_EXCEEDED)]
-        call = replace(
-            call, start_by_ms=call.target_at_ms - self.pool.typical_latency_ms(call.latency_class)
-        )
+        latency_ms = self.pool.typical_latency_ms(call.latency_class)
+        # One that came back when told waits until its deadline rather than be refused once more.
+        has_returned = bool(call.return_key) and self._returns.redeem(call, now_ms)
+        in_time_ms = call.deadline_ms if has_returned else call.target_at_ms
+        call = replace(call, start_by_ms=in_time_ms - latency_ms, has_returned=has_returned)
         if not self._may_serve(call, now_ms):
             return [Refuse(call.call_id, RefusalReason.NO_UPSTREAM)]
         opens_in_ms = self._opens_in_ms(call, now_ms)
@@ -106,6 +114,8 @@
             # Late calls queue behind calls that can still be on time, so under overload this one
             # would only wait for its deadline. Refuse it now so that the caller can retry later.
             starts_ms = now_ms + opens_in_ms + self._expected_wait_ms(call, now_ms)
+            if not has_returned:
+                starts_ms += self._returning_work_ms(call, starts_ms, now_ms)
             if starts_ms > min(call.start_by_ms, call.deadline_ms):
                 return [Refuse(call.call_id, self._wait_reason())]
         reason = self.admission.admit(call, now_ms)
@@ -333,12 +343,24 @@
         return self.pool.opens_in_ms(now_ms)
 
     def _expected_wait_ms(self, call: WaitingCall, now_ms: float) -> float:
-        slots = self.pool.usable_slots(self.pool.typical_latency_ms(call.latency_class), now_ms)
+        slots = self._slots(self.pool.typical_latency_ms(call.latency_class), now_ms)
         if not slots or call.partner not in self.admission.partner_by_name:
             return 0.0
         ahead = self.admission.expected_calls_ahead(call.partner, call.priority)
         return ahead * self.pool.typical_latency_ms(call.latency_class) / slots
 
+    def _slots(self, latency_ms: float, now_ms: float) -> float:
+        """Return how many calls of this entry run at a time."""
+        slots = self.pool.usable_slots(latency_ms, now_ms)
+        return min(slots, self.pool.busy_slots()) if self.admission.waiting else slots
+
+    def _returning_work_ms(self, call: WaitingCall, starts_ms: float, now_ms: float) -> float:
+        """Return the delay of a call by callers that were told to come back before it starts."""
+        latency_ms = self.pool.typical_latency_ms(call.latency_class)
+        slots = self._slots(latency_ms, now_ms)
+        returning = self._returns.due_before(starts_ms, call.priority, now_ms)
+        return returning * latency_ms / slots if slots else 0.0
+
     def retry_after_ms(self, call: WaitingCall, now_ms: float) -> float:
         """Return the delay after which to retry a refused call, milliseconds."""
         closed_for_ms = self.pool.closed_for_ms(now_ms)
@@ -348,7 +370,15 @@
         wait_ms = self._expected_wait_ms(call, now_ms)
         rate_per_s = self.pool.serving_rate_per_s()
         if not 0 < rate_per_s < UNLIMITED:
-            return wait_ms + self.pool.typical_latency_ms(call.latency_class) / 2
+            latency_ms = self.pool.typical_latency_ms(call.latency_class)
+            slots = self._slots(latency_ms, now_ms)
+            due_ms = self._returns.promise(
+                call,
+                soonest_ms=now_ms + wait_ms + latency_ms / 2,
+                spacing_ms=latency_ms / slots if slots else 0.0,
+                now_ms=now_ms,
+            )
+            return due_ms - now_ms
         # Each refused caller is sent back for another call that the rate limits will let through.
         opens_ms = now_ms + self.pool.opens_in_ms(now_ms)
         soonest_ms = max(opens_ms + wait_ms, self._promised_ms + MS_PER_S / rate_per_s)
@@ -363,7 +393,7 @@
         return unservable_calls(
             calls,
             self.pool.typical_latency_ms,
-            slots=self.pool.usable_slots(sum(latencies_ms) / len(latencies_ms), now_ms),
+            slots=self._slots(sum(latencies_ms) / len(latencies_ms), now_ms),
             now_ms=now_ms,
             opens_in_ms=min(self.pool.opens_in_ms(now_ms), MAX_RETRY_AFTER_MS),
         )
--- a/packages/cassiahaven-entry/cassiahaven_entry/call.py
+++ b/packages/cassiahaven-entry/cassiahaven_entry/call.py
@@ -24,10 +24,10 @@
     def __init__(self, request: CallRequest, service: str, waiting: WaitingCall) -> None:
         self.request = request
         self.service = service
-        self.waiting = waiting
         self.fingerprint = request_fingerprint(
             service, waiting.partner, request.method, request.target, request.body
         )
+        self.waiting = replace(waiting, return_key=self.fingerprint)
         self.explanation = Explanation(
             waiting.call_id, service, waiting.partner, request.method, request.target, time.time()
         )
