Test that uploads over a slow link do not delay short calls

Bodies are read in parts and within the limits of RequestMemory, so eight uploads of 360 KB at 10 Mbit/s together should not delay other calls of the entry. No change of the code was needed for the callers' side.

The link to the endpoints is not limited in this test.

--- a/tests/test_platform_uploads.py
+++ b/tests/test_platform_uploads.py
@@ -137,3 +137,59 @@
         time.sleep(0.2)
         entry.signal(signal.SIGTERM)
         assert entry.process.wait(GRACE_MS / 1000 + EXIT_TOLERANCE_S) == 0
+
+
+SLOW_LINK_BYTES_PER_S = 1_250_000  # 10 Mbit/s
+SLOW_UPLOAD_BYTES = 360_000
+SLOW_UPLOADS = 8
+SLOW_PART_BYTES = 1_500
+
+
+def upload_slowly(entry, request, stop):
+    """Send uploads one after another, at a part of the pace of a link; return their statuses."""
+    pause_s = SLOW_PART_BYTES * SLOW_UPLOADS / SLOW_LINK_BYTES_PER_S
+    statuses = []
+    while not stop.is_set():
+        with socket.create_connection(("127.0.0.1", entry.front_port)) as caller:
+            head = (
+                f"POST /unsafe/x/up HTTP/1.1\r\nHost: h.example\r\nRequest-Id: {request()}\r\n"
+                f"Deadline-Ms: {DEADLINE_MS}\r\nContent-Length: {SLOW_UPLOAD_BYTES}\r\n\r\n"
+            )
+            caller.sendall(head.encode())
+            start_s = time.monotonic()
+            for part in range(SLOW_UPLOAD_BYTES // SLOW_PART_BYTES):
+                caller.sendall(b"x" * SLOW_PART_BYTES)
+                time.sleep(max(0.0, start_s + (part + 1) * pause_s - time.monotonic()))
+            statuses.append(caller.recv(12))
+    return statuses
+
+
+def short_call_ms(fleet, request_id, count):
+    """Return the time of each of some short calls, in order."""
+    took_ms = []
+    for _ in range(count):
+        started_s = time.monotonic()
+        status, _, _ = fleet.call(fleet.entries[0], "GET", "/safe/x/1", request=request_id())
+        took_ms.append((time.monotonic() - started_s) * 1000)
+        assert status == 200
+    return sorted(took_ms)
+
+
+def test_uploads_over_a_slow_link_do_not_delay_short_calls(fleet, request_id):
+    """Guards against short calls that wait until the bodies of uploads have been read."""
+    alone_ms = short_call_ms(fleet, request_id, 100)
+    stop = threading.Event()
+    with ThreadPoolExecutor(SLOW_UPLOADS) as pool:
+        uploads = [
+            pool.submit(upload_slowly, fleet.entries[0], request_id, stop)
+            for _ in range(SLOW_UPLOADS)
+        ]
+        time.sleep(0.5)
+        beside_ms = short_call_ms(fleet, request_id, 100)
+        stop.set()
+        statuses = [status for item in uploads for status in item.result()]
+    print(f"median {alone_ms[50]:.1f} alone, {beside_ms[50]:.1f} ms beside uploads,")
+    print(f"95th percentile {alone_ms[95]:.1f} and {beside_ms[95]:.1f} ms")
+    assert set(statuses) == {b"HTTP/1.1 200"}
+    # The body of one upload takes 290 ms on the link, and those of all eight 2.3 s.
+    assert beside_ms[95] < alone_ms[95] + 100
