--- a/packages/cassiahaven-core/cassiahaven_core/pool.py
+++ b/packages/cassiahaven-core/cassiahaven_core/pool.py
@@ -7,6 +7,7 @@
 from cassiahaven_core.cold_start import ColdShare, ColdStart
 from cassiahaven_core.endpoint import (
     FAILED_RESULTS,
+    FULL_TOLERANCE_SLOTS,
     NOT_RUN_RESULTS,
     CallResult,
     Endpoint,
@@ -40,6 +41,9 @@
 BASE_EJECTION_MS = 1000.0  # an endpoint is to be back in use within 2 s of its recovery
 MAX_EJECTION_MS = 30_000.0
 MAX_EJECTED_SHARE = 0.5
+LOST_WHEN_FULL_RESULTS = frozenset({CallResult.CONNECTION_LOST, CallResult.REFUSED})
+FULL_LOSS_MEMORY_MS = 60_000.0  # several times as long as a surge of the load
+FULL_RECHECK_SHARE = 0.25  # of the usual time of a call
 CALL_TRIAL_HEAD_START_MS = 200.0  # a trial by an idempotent call tells more than one by a probe
 # Bounds the retries that trials cost while many endpoints are out; probes try the others.
 CALL_TRIAL_INTERVAL_MS = 200.0
@@ -74,11 +78,13 @@
         "is_held_at_home",
         "typical_latency_ms_by_partner",
         "_answers_by_partner",
+        "_relaxed_latency_ms_by_partner",
         "_share",
         "_rng",
         "_left_zone",
         "_ejected",
         "_call_trial_from_ms",
+        "_lost_when_full_ms",
         "_serving",
         "_typical_slowdown",
         "_slot_limit",
@@ -95,12 +101,14 @@
         self.placement = ZonePlacement()
         self.typical_latency_ms_by_partner: dict[str, float] = {}
         self._answers_by_partner: Counter[str] = Counter()
+        self._relaxed_latency_ms_by_partner: dict[str, float] = {}
         self._share = share
         self._rng = rng or Random()
         self.is_held_at_home = False
         self._left_zone: ZoneReason | None = None
         self._ejected: set[str] = set()
         self._call_trial_from_ms = float("-inf")
+        self._lost_when_full_ms = float("-inf")
         self._serving: list[Endpoint] = []
         self._typical_slowdown = 1.0
         self._slot_limit = AdaptiveSlotLimit()
@@ -281,6 +289,29 @@
             return False
         return endpoint.is_serving or endpoint.status is EndpointStatus.TRIAL
 
+    def was_found_full(
+        self, name: str, call_id: str, now_ms: float, *, idempotent: bool = True
+    ) -> bool:
+        """Return whether the calls of other entries fill a call's endpoint, as reported since.
+
+        Args:
+            name: The endpoint that the call is counted at, but not sent to.
+            call_id: The call.
+            now_ms: Current time, milliseconds.
+            idempotent: Whether the call may run twice.
+        """
+        endpoint = self.endpoint_by_id.get(name)
+        started = endpoint.in_flight_by_call_id.get(call_id) if endpoint is not None else None
+        if started is None or endpoint.reported_at_ms < started.at_ms:
+            return False
+        spare = 0 if idempotent else self._spare_slots(now_ms)
+        if not self._is_full(endpoint, now_ms, spare=spare, counted=1):
+            return False
+        # About the time until some of its calls end; asking earlier would only cost probes.
+        recheck_ms = self.typical_latency_ms(started.partner) * FULL_RECHECK_SHARE
+        endpoint.gate.full_until_ms = now_ms + recheck_ms
+        return True
+
     def has_serving_endpoint(self) -> bool:
         """Return whether any endpoint accepts new calls."""
         return bool(self._serving)
@@ -374,6 +405,15 @@
             slots += limit
         return slots
 
+    def busy_slots(self) -> float:
+        """Return the calls of this entry in flight, if no endpoint limits or refuses them.
+
+        While calls wait, these are all slots that the other entries leave to this one.
+        """
+        if any(item.gate.rate_limit or item.gate.closure for item in self._serving):
+            return math.inf
+        return max(1.0, sum(item.in_flight for item in self._serving))
+
     def serving_rate_per_s(self) -> float:
         """Return the calls a second of this entry at all serving endpoints, if all are limited."""
         return sum(endpoint.gate.rate_per_s for endpoint in self._serving)
@@ -419,6 +459,7 @@
             if trial is not None:
                 return trial
         home = HomeZone()
+        spare = 0 if need.may_run_twice else self._spare_slots(now_ms)
         best: Endpoint | None = None
         best_cost = float("inf")
         for endpoint in self._serving:
@@ -433,7 +474,7 @@
                 home.slots += limit
             if len(endpoint.in_flight_by_call_id) >= limit:
                 continue
-            if distance_ms and not self.placement.has_spare_slot(endpoint, now_ms):
+            if self._is_full(endpoint, now_ms, spare=spare):
                 continue
             if gate.closure is not None and not gate.closure.admits(endpoint.started_ms(), now_ms):
                 continue
@@ -536,6 +577,8 @@
         if result is CallResult.CONNECT_FAILED and self._cold_per_s:
             # A process that starts anew under the old registration is cold before that is known.
             endpoint.gate.reopen(now_ms)
+        if result in LOST_WHEN_FULL_RESULTS and started.is_nearly_full:
+            self._lost_when_full_ms = now_ms
         if result is CallResult.OK:
             self._record_success(endpoint, started, now_ms)
         elif result is CallResult.REFUSED and endpoint.gate.closed_for_ms(now_ms):
@@ -544,6 +587,8 @@
                 self.handle(name, EndpointEvent.FAILING, "closed itself", now_ms)
         elif result in FAILED_RESULTS:
             self._record_failure(endpoint, result, now_ms)
+        elif endpoint.status is EndpointStatus.TRIAL and not started.is_sent:
+            self._end_trial_unsent(endpoint, now_ms)
         elif endpoint.status is EndpointStatus.TRIAL:
             self.handle(name, EndpointEvent.FAILING, "trial cancelled", now_ms)
         endpoint.tie_break = self._tie_break()
@@ -557,6 +602,7 @@
         endpoint.reported_at_ms = now_ms
         own = sum(started.is_sent for started in endpoint.in_flight_by_call_id.values())
         endpoint.others_in_flight = max(0, report.running + report.waiting - own)
+        endpoint.gate.full_until_ms = float("-inf")
         self._typical_slowdown += SLOWDOWN_EWMA_ALPHA * (report.slowdown - self._typical_slowdown)
 
     def apply_rate_limit(
@@ -724,6 +770,34 @@
         cost = endpoint.cost(self._typical_slowdown, now_ms)
         return self.placement.weigh(cost, need, endpoint.address.distance_ms)
 
+    def _spare_slots(self, now_ms: float) -> int:
+        """Return the slots that a call that must not run twice leaves free at shared endpoints.
+
+        Entries learn of each other's calls only by reports, so two may send to the last slot at
+        once. That matters where endpoints lately reset or turned away calls when they were full.
+        """
+        return int(now_ms - self._lost_when_full_ms < FULL_LOSS_MEMORY_MS)
+
+    def _is_full(self, endpoint: Endpoint, now_ms: float, *, spare: int, counted: int = 0) -> bool:
+        """Return whether the calls of other entries leave no slot for one more call.
+
+        Args:
+            endpoint: The endpoint.
+            now_ms: Current time, milliseconds.
+            spare: Slots to leave free if other entries send to the endpoint.
+            counted: 1 if the call is counted at the endpoint already.
+        """
+        if not counted and now_ms < endpoint.gate.full_until_ms:
+            return True
+        others = endpoint.decayed_others_in_flight(now_ms)
+        taken = endpoint.in_flight + others - counted
+        most = self._slot_limit.limit(endpoint.address.slots)
+        if spare and (endpoint.others_in_flight or endpoint.address.distance_ms):
+            most = max(1, most - spare)
+        if endpoint.address.distance_ms:
+            return not self.placement.has_spare_slot(taken, most)
+        return others >= 1 - FULL_TOLERANCE_SLOTS and taken + 1 > most + FULL_TOLERANCE_SLOTS
+
     def _tie_break(self) -> float:
         return 1 + TIE_BREAK * self._rng.random()
 
@@ -743,7 +817,7 @@
         is_nearly_full = taken > endpoint.address.slots * NEARLY_FULL_SHARE
         # Skip the sample if the endpoint crossed the threshold while the call was running.
         if is_nearly_full == started.is_nearly_full:
-            self._slot_limit.learn(ratio, is_nearly_full=is_nearly_full)
+            self._learn_slot_limit(started.partner, took_ms, is_nearly_full=is_nearly_full)
         slowness = endpoint.decayed_slowness(now_ms)
         smoothed = slowness + SLOWNESS_EWMA_ALPHA * (ratio - slowness)
         endpoint.slowness = max(MIN_SLOWNESS, smoothed)
@@ -759,6 +833,22 @@
             endpoint.ejections = 0
             self.handle(name, EndpointEvent.WARMED, "warmed up", now_ms)
 
+    def _learn_slot_limit(self, partner: str, took_ms: float, *, is_nearly_full: bool) -> None:
+        """Compare a call with calls that ran beside free slots.
+
+        Under a long overload, all calls are slow, and the typical latency no longer shows what the
+        last slots cost.
+        """
+        relaxed_ms = self._relaxed_latency_ms_by_partner.get(partner)
+        if relaxed_ms is None:
+            relaxed_ms = self.typical_latency_ms(partner)
+        self._slot_limit.learn(took_ms / relaxed_ms, is_nearly_full=is_nearly_full)
+        if not is_nearly_full:
+            self._relaxed_latency_ms_by_partner[partner] = max(
+                MIN_TYPICAL_LATENCY_MS,
+                relaxed_ms + PARTNER_LATENCY_EWMA_ALPHA * (took_ms - relaxed_ms),
+            )
+
     def _is_unexplained(self, endpoint: Endpoint, started: InFlightCall, now_ms: float) -> bool:
         """Return whether an unanswered call waited longer than its work can take.
 
--- a/packages/cassiahaven-entry/cassiahaven_entry/call.py
+++ b/packages/cassiahaven-entry/cassiahaven_entry/call.py
@@ -36,11 +36,11 @@
     ) -> None:
         self.request = request
         self.service = service
-        self.waiting = waiting
         self.account = account
         self.fingerprint = request_fingerprint(
             service, waiting.partner, request.method, request.target, request.body
         )
+        self.waiting = replace(waiting, return_key=self.fingerprint)
         self.explanation = Explanation(
             waiting.call_id, service, waiting.partner, request.method, request.target, time.time()
         )
--- a/packages/cassiahaven-entry/cassiahaven_entry/routed_calls.py
+++ b/packages/cassiahaven-entry/cassiahaven_entry/routed_calls.py
@@ -39,6 +39,7 @@
         RefusalReason.STORE_VIEW_STALE,
         RefusalReason.PARTNER_BLOCKED,
         RefusalReason.RATE_LIMITED,
+        RefusalReason.USAGE_CAPPED,
         RefusalReason.QUARANTINED,
     }
 )
