--- a/packages/cassiahaven-entry/tests/test_fleet_links.py
+++ b/packages/cassiahaven-entry/tests/test_fleet_links.py
@@ -1,6 +1,7 @@
 """State requests and replies when all subscribers learn of a change at once."""
 
 import threading
+from types import SimpleNamespace
 
 import eventlet
 import pytest
@@ -31,6 +32,7 @@
     WatcherLink,
 )
 from cassiahaven_entry.metrics import Metrics
+from cassiahaven_entry.routed_node import RoutedNode
 from cassiahaven_standins.fleet import free_port
 
 ROUTES = {str(number): ["route", number] for number in range(1000)}
@@ -122,6 +124,25 @@
     assert fleet.live_names(now_ms()) == {"a2", "b1"}
 
 
+@pytest.mark.parametrize(("is_ready", "named"), [(False, ["b1"]), (True, ["a2"])])
+def test_lookup_at_an_entry_that_is_not_ready_names_others(clock, is_ready, named):
+    """Guards against lookups without an answer at an entry that knows live ones."""
+    fleet = Fleet(member("a2"))
+    fleet.set_members([member(name) for name in ("a2", "a3", "b1")])
+    fleet.record_watcher_report(
+        "b1",
+        live=["a2", "a3", "b1"],
+        draining=[],
+        store_age_ms=0.0,
+        now_ms=now_ms(),
+        starting=["a2", "a3"],
+    )
+    node = SimpleNamespace(
+        fleet=fleet, is_ready=is_ready, is_draining=False, settings=SimpleNamespace(name="a2")
+    )
+    assert [item.name for item in RoutedNode._serving_entries(node, "", "a")] == named
+
+
 def test_new_subscriber_can_apply_the_next_change(links):
     """Guards against a first report that is newer than the one that changes are based on."""
     versions = {"configuration": 2}
