Compare items with a watcher that stays at an older version

Cause: since versions move only with changes, a watcher that reads a change and its withdrawal in one answer keeps its version. A subscriber that got the first of the two from another watcher, which then died, would have kept it until the next change of the topic.

Change: a subscriber that is ahead of a watcher for 1 s asks it once, with its version and digest. A watcher that has read that version and has other items raises its version to the last one read and sends all items.

Run: test_fleet_view (the new test reaches the state through the real link), test_fleet_links and test_fleet passed.

--- a/packages/cassiahaven-core/cassiahaven_core/fleet_state.py
+++ b/packages/cassiahaven-core/cassiahaven_core/fleet_state.py
@@ -39,12 +39,14 @@
 
     Attributes:
         digest: Digest of all items, equal at two entries that have the same items.
+        read_version: Version of the store's last answer to this entry.
     """
 
     __slots__ = (
         "item_by_name",
         "version",
         "digest",
+        "read_version",
         "_digest_by_name",
         "_changes",
         "_complete_since",
@@ -54,6 +56,7 @@
         self.item_by_name: dict[str, Item] = {}
         self.version = NO_VERSION
         self.digest = 0
+        self.read_version = NO_VERSION
         self._digest_by_name: dict[str, int] = {}
         self._changes: deque[tuple[StoreVersion, str]] = deque(maxlen=KEPT_CHANGES)
         self._complete_since = NO_VERSION
@@ -127,6 +130,15 @@
         names = {name for at, name in self._changes if at > version}
         return {name: self.item_by_name.get(name) for name in names}
 
+    def answer_newer(self, version: StoreVersion | int, digest: int) -> None:
+        """Raise the version if an entry has other items at a version that this one has read.
+
+        An item that was changed and changed back between two answers of the store is no change
+        here, but another watcher may have seen and passed on the first of the two.
+        """
+        if self.version < StoreVersion.of(version) <= self.read_version and digest != self.digest:
+            self._record_changes(set(), self.read_version)
+
     def fits(
         self, changes: dict[str, Item | None], version: StoreVersion | int, digest: int
     ) -> bool:
--- a/packages/cassiahaven-entry/cassiahaven_entry/fleet_links.py
+++ b/packages/cassiahaven-entry/cassiahaven_entry/fleet_links.py
@@ -36,6 +36,7 @@
 UNREACHABLE_MS = 3000.0  # an entry restarts within this time
 COALESCE_MS = 100.0  # coalesces bursts of changes; 1/20 of the time a change may take to spread
 REQUEST_TIMEOUT_MS = 400.0
+AHEAD_MS = 1000.0  # a watcher that reads the store is no further behind than this
 START_INTERVAL_MS = 10.0  # until the members are known, so that a start takes no longer
 NEAR_WATCHER_HEAD_START_MS = 250.0  # half the report interval; traffic between zones is billed
 MAX_ENCODED_REPLIES = 16
@@ -146,6 +147,7 @@
         self._has_near_link = has_near_link
         self._replica = ReportReplica()
         self._report_requested_ms = float("-inf")
+        self._ahead_by_topic: dict[str, tuple[StoreVersion, float]] = {}
         self._reported: tuple[bool, dict[str, StoreVersion]] | None = None
 
     @property
@@ -237,11 +239,26 @@
         own = self._state.versions()
         prefers_another = not self.is_near and self._has_near_link()
         for topic, version in self._replica.report.version_by_topic.items():
-            if version > own[topic] and self._request_pacer.is_due(
+            is_due = version > own[topic] and self._request_pacer.is_due(
                 topic, prefers_another=prefers_another, now_ms=now_ms()
-            ):
+            )
+            if is_due or self._is_check_due(topic, version, own[topic]):
                 self.send(self._state.state_request(topic))
 
+    def _is_check_due(self, topic: str, version: StoreVersion, own: StoreVersion) -> bool:
+        """Return whether to compare items once, as the watcher stays at an older version."""
+        if version >= own or topic == Topic.CONFIGURATION.value:
+            self._ahead_by_topic.pop(topic, None)
+            return False
+        known, since_ms = self._ahead_by_topic.get(topic, (None, 0.0))
+        if known != own:
+            self._ahead_by_topic[topic] = (own, now_ms())
+            return False
+        if now_ms() - since_ms < AHEAD_MS:
+            return False
+        self._ahead_by_topic[topic] = (own, float("inf"))
+        return True
+
 
 class FleetLinks(PeerSubscribers):
     """Manage the links to watchers and the links from subscribers.
--- a/packages/cassiahaven-entry/cassiahaven_entry/fleet_view.py
+++ b/packages/cassiahaven-entry/cassiahaven_entry/fleet_view.py
@@ -128,6 +128,7 @@
         if topic == Topic.CONFIGURATION.value:
             return self._config_update(StoreVersion.of(request.version).revision)
         state = self._state_by_topic[topic]
+        state.answer_newer(request.version, request.digest)
         changed = state.changed_since(request.version, request.digest)
         if changed is None:
             return self._full_state(topic, state)
@@ -176,6 +177,7 @@
         revision_by_name = {change.name: change.revision for change in changes.changes}
         version = state.version_of(items, revision_by_name, changes.version)
         self._apply(topic, items, version, FROM_STORE, is_whole=changes.is_whole)
+        state.read_version = changes.version
 
     def expire(self) -> None:
         """Drop endpoints that did not register again after a store outage."""
--- a/packages/cassiahaven-entry/tests/test_fleet_view.py
+++ b/packages/cassiahaven-entry/tests/test_fleet_view.py
@@ -8,13 +8,20 @@
 
 from cassiahaven_core.edge import FleetChange, FleetChanges, Topic
 from cassiahaven_core.membership import Fleet, Member
-from cassiahaven_core.peer_message import StateNews, StateRequest, decode, encode
+from cassiahaven_core.peer_message import (
+    StateNews,
+    StateRequest,
+    WatcherReport,
+    decode,
+    encode,
+)
 from cassiahaven_core.registry import Registration
 from cassiahaven_core.route import GatewayConfig, Route, RoutingTable, ServiceShare, ServiceSpec
 from cassiahaven_core.store_outage import MIN_OUTAGE_MS, REREGISTRATION_MS
 from cassiahaven_core.store_version import StoreVersion
 from cassiahaven_core.table import Row, ServiceTable
 from cassiahaven_entry.clock import now_ms
+from cassiahaven_entry.fleet_links import LinkCallbacks, StateRequestPacer, WatcherLink
 from cassiahaven_entry.fleet_view import FleetView
 
 ENDPOINTS = Topic.ENDPOINTS.value
@@ -168,6 +175,35 @@
     assert second.versions()[ENDPOINTS].revision == 11
 
 
+def test_item_changed_back_reaches_an_entry_that_another_watcher_told_the_first_change(
+    make_view, clock
+):
+    """Guards against an endpoint that stays draining after the watcher that told so has died."""
+    (watcher, _), (dead, _), (follower, _) = (make_view(name) for name in ("b1", "c1", "a1"))
+    changed, back = written("e1", 4, is_draining=True), written("e1", 6)
+    dead.apply_changes(Topic.ENDPOINTS, FleetChanges(5, [changed], False))
+    follower.apply_update(dead.state_update(follower.state_request(ENDPOINTS)), "c1")
+    watcher.apply_changes(Topic.ENDPOINTS, FleetChanges(7, [back], False))
+    assert watcher.versions()[ENDPOINTS] < follower.versions()[ENDPOINTS]
+    callbacks = LinkCallbacks(
+        report=print,
+        versions=follower.versions,
+        state_request=follower.state_request,
+        state_update=follower.state_update,
+        on_state_update=follower.apply_update,
+        on_crash=print,
+        on_rate_limit=print,
+    )
+    link = WatcherLink(
+        watcher._fleet.own, "k", follower._fleet, callbacks, StateRequestPacer(), lambda: True
+    )
+    link.send = lambda request: link._receive(watcher.state_update(request))
+    for _ in range(5):
+        link._receive(WatcherReport(["a1", "b1"], [], 0.0, watcher.versions(), 1))
+        clock.advance_ms(500.0)
+    assert not follower.registry.registration_by_endpoint["e1"].is_draining
+
+
 def test_restarted_watcher_sends_nothing_to_subscribers_that_have_its_items(make_view):
     """Guards against full lists to all entries when a watcher reads the store anew."""
     (follower, _), (watcher, _) = make_view("a1"), make_view("b1")
