Move the simulated fleet and the steady load to the stand-ins

Cause: the tests held the simulation that they run, so that other tests could not. Change: cold_fleet.py and steady_load.py; the tests and their bounds are the same.

--- a/packages/cassiahaven-core/tests/test_cold_start.py
+++ b/packages/cassiahaven-core/tests/test_cold_start.py
@@ -1,211 +1,36 @@
 """Calls to cold endpoints: what all entries together send, replayed on a simulated clock."""
 
 import random
-from itertools import count
 
 import pytest
 
 from cassiahaven_core.admission import Admission, WaitingCall
-from cassiahaven_core.cold_start import (
-    ColdListings,
-    ColdShare,
-    ColdShares,
-    has_contact,
-    parse_cold_ms,
-)
+from cassiahaven_core.cold_start import ColdListings, ColdShare, ColdShares, parse_cold_ms
 from cassiahaven_core.endpoint import CallResult
-from cassiahaven_core.endpoint_address import EndpointAddress
 from cassiahaven_core.lifecycle import EndpointEvent
-from cassiahaven_core.membership import Fleet, Member
 from cassiahaven_core.pool import Pool
 from cassiahaven_core.rate_limit import RateShare
 from cassiahaven_core.registry import Registration
 from cassiahaven_core.service import Dispatch, ServicePolicy
 from cassiahaven_core.table import CellValue
+from cassiahaven_standins.cold_fleet import (
+    END_MS,
+    FAULT_MS,
+    FAULTS,
+    PER_S,
+    SLACK,
+    ZONES,
+    SimulatedFleet,
+    cold_pool,
+    make_address,
+)
 
-PER_S = 2.5
-SLACK = 8
 BOUND = PER_S * 1.5 + SLACK  # calls that all entries may send in any second
-ZONES = ("a", "b", "c")
-ENDPOINTS = 40
-STEP_MS = 25.0
-REPORT_MS = 500.0
-HOUSEKEEPING_MS = 250.0
-FAULT_MS = 6000.0
-END_MS = 20_000.0
 CELL = CellValue(
     weight=1.0, rate_per_s=1e9, concurrency=1000, queue_limit=100, probe_budget_ms_per_s=0.0
 )
 
 
-def make_address(name, *, zone="a", cold_ends_ms=END_MS * 2):
-    distance_ms = 0.0 if zone == "a" else 1.0
-    return EndpointAddress(
-        name, "1", zone, "h", 1, 3, distance_ms, warm_up_ms=0.0, cold_ends_ms=cold_ends_ms
-    )
-
-
-def cold_pool(names, *, share=None, now_ms=0.0):
-    pool = Pool(rng=random.Random(1))
-    pool.set_cold_share(share or ColdShare(), now_ms)
-    pool.set_cold_limit(PER_S, now_ms)
-    pool.set_endpoints([make_address(name) for name in names], now_ms)
-    return pool
-
-
-class SimulatedEntry:
-    """An entry that sends to cold endpoints whatever its share lets through."""
-
-    def __init__(self, member, members, now_ms):
-        self.fleet = Fleet(member)
-        self.fleet.set_members(members)
-        self.shares = ColdShares(member.name, ZONES, SLACK)
-        self.pool = cold_pool([f"e{n}" for n in range(ENDPOINTS)], share=ColdShare({}, 0.0))
-        self.started_ms = now_ms
-
-    def compute_share(self, now_ms):
-        serving = {
-            item.name: item.availability_zone
-            for zone in ZONES
-            for item in self.fleet.serving_entries(zone, 0.8, now_ms)
-        }
-        share = self.shares.update(
-            serving,
-            members=len(self.fleet.member_by_name),
-            is_in_contact=has_contact(self.fleet, now_ms),
-            now_ms=now_ms,
-        )
-        self.pool.set_cold_share(share, now_ms)
-
-
-class SimulatedFleet:
-    """Entries that learn of each other through watchers, all with demand without end."""
-
-    def __init__(self, *, entries, large, seed=1):
-        self.rng = random.Random(seed)
-        self.members = [
-            Member(f"n{n}", "p", ZONES[n % 3], "c:1", "p:1", 2.15 if n < large else 0.43)
-            for n in range(entries)
-        ]
-        self.entry_by_name = {
-            member.name: SimulatedEntry(member, self.members, 0.0) for member in self.members
-        }
-        self.down_until_ms = {}
-        self.frozen_until_ms = {}
-        self.group_by_name = {}
-        self.draining = set()
-        self.sent_ms_by_endpoint = {f"e{n}": [] for n in range(ENDPOINTS)}
-        self.phase_ms = {m.name: self.rng.randrange(0, 500, 25) for m in self.members}
-        self._numbers = count()
-
-    def run(self, fault):
-        now_ms = 0.0
-        while now_ms < END_MS:
-            now_ms += STEP_MS
-            if now_ms == FAULT_MS:
-                fault(self)
-            self.step(now_ms)
-        return self
-
-    def step(self, now_ms):
-        for name, until_ms in list(self.down_until_ms.items()):
-            if now_ms >= until_ms:
-                del self.down_until_ms[name]
-                member = next(m for m in self.members if m.name == name)
-                self.entry_by_name[name] = SimulatedEntry(member, self.members, now_ms)
-        for name, entry in self.entry_by_name.items():
-            if name in self.down_until_ms or now_ms < self.frozen_until_ms.get(name, 0.0):
-                continue
-            # An entry that was frozen sends before it learns anything.
-            self.send(entry, now_ms)
-            if (now_ms + self.phase_ms[name]) % REPORT_MS == 0:
-                self.report(name, entry, now_ms)
-            if (now_ms + self.phase_ms[name]) % HOUSEKEEPING_MS == 0:
-                entry.compute_share(now_ms)
-
-    def send(self, entry, now_ms):
-        while (endpoint := entry.pool.choose(now_ms, idempotent=True)) is not None:
-            name, call = endpoint.address.endpoint, str(next(self._numbers))
-            entry.pool.start(endpoint, call, "k", now_ms)
-            entry.pool.mark_sent(name, call)
-            entry.pool.finish(name, call, CallResult.OK, now_ms)
-            self.sent_ms_by_endpoint[name].append(now_ms)
-
-    def report(self, name, entry, now_ms):
-        for watcher in entry.fleet.watchers():
-            if self.reaches(name, watcher.name) and watcher.name != name:
-                known = self.entry_by_name[watcher.name].fleet
-                known.record_report(name, is_draining=name in self.draining, now_ms=now_ms)
-        for other, follower in self.entry_by_name.items():
-            follows = any(item.name == name for item in follower.fleet.watchers())
-            if other != name and follows and self.reaches(name, other):
-                follower.fleet.record_watcher_report(
-                    name,
-                    live=entry.fleet.own_subscribers(now_ms),
-                    draining=entry.fleet.draining,
-                    store_age_ms=0.0,
-                    now_ms=now_ms,
-                )
-
-    def reaches(self, name, other):
-        if other in self.down_until_ms:
-            return False
-        return self.group_by_name.get(name) == self.group_by_name.get(other)
-
-    def most_in_a_second(self):
-        most = 0
-        for sent_ms in self.sent_ms_by_endpoint.values():
-            first = 0
-            for last, at_ms in enumerate(sent_ms):
-                while at_ms - sent_ms[first] > 1000.0:
-                    first += 1
-                most = max(most, last - first + 1)
-        return most
-
-    def sent_between(self, from_ms, to_ms):
-        """Return the mean calls a second to one endpoint."""
-        sent = sum(
-            from_ms <= at_ms < to_ms
-            for sent_ms in self.sent_ms_by_endpoint.values()
-            for at_ms in sent_ms
-        )
-        return sent / ENDPOINTS / (to_ms - from_ms) * 1000
-
-
-def kill(fleet, share):
-    names = fleet.rng.sample(sorted(fleet.entry_by_name), int(len(fleet.members) * share))
-    for name in names:
-        fleet.down_until_ms[name] = FAULT_MS + fleet.rng.randrange(1000, 3500, 25)
-
-
-def partition_third(fleet, *, is_group):
-    for number, member in enumerate(fleet.members):
-        if number % 3 == 0:
-            fleet.group_by_name[member.name] = "cut off" if is_group else member.name
-
-
-def freeze_large(fleet):
-    for number, member in enumerate(fleet.members[:6]):
-        fleet.frozen_until_ms[member.name] = FAULT_MS + 4000.0 + 200 * number
-
-
-def restart_large(fleet):
-    for number, member in enumerate(fleet.members[:6]):
-        fleet.down_until_ms[member.name] = FAULT_MS + 1000.0 + 400 * number
-
-
-FAULTS = {
-    "none": lambda fleet: None,
-    "all entries are killed": lambda fleet: kill(fleet, 1.0),
-    "55 % are killed": lambda fleet: kill(fleet, 0.55),
-    "16 % are killed": lambda fleet: kill(fleet, 0.16),
-    "a third is cut off as a group": lambda fleet: partition_third(fleet, is_group=True),
-    "a third is cut off one by one": lambda fleet: partition_third(fleet, is_group=False),
-    "the large ones freeze": freeze_large,
-    "the large ones restart": restart_large,
-}
-
-
 @pytest.mark.parametrize("fault", FAULTS)
 @pytest.mark.parametrize("entries, large", [(21, 6), (18, 0)])
 def test_all_entries_together_keep_to_what_cold_endpoints_bear(entries, large, fault):
--- a/tests/test_platform_evacuations.py
+++ b/tests/test_platform_evacuations.py
@@ -4,49 +4,19 @@
 import signal
 import threading
 import time
-from itertools import count
 
 import pytest
 
 from cassiahaven_cli.report import status_report
 from cassiahaven_standins.fleet import wait_until
 from cassiahaven_standins.platform_fleet import platform_fleet
+from cassiahaven_standins.steady_load import steady_load
 
 BOUND_S = 5.0
 AIM_S = 2.0
 COLD_PER_S = 2.5
 COLD_MS = 3000
 BOUNDS = ("evacuation=5000ms", "coldOverage=1.5", "coldSlack=8")
-numbers = count()
-
-
-class Load:
-    """Calls to all entries without a pause, until the block ends."""
-
-    def __init__(self, fleet):
-        self.fleet = fleet
-        self.statuses = []
-        self._is_over = threading.Event()
-        self._threads = [threading.Thread(target=self._run, args=(n,)) for n in range(3)]
-
-    def __enter__(self):
-        for thread in self._threads:
-            thread.start()
-        return self
-
-    def __exit__(self, *_):
-        self._is_over.set()
-        for thread in self._threads:
-            thread.join()
-
-    def _run(self, first):
-        for number in count(first):
-            if self._is_over.wait(0.01):
-                return
-            entry = self.fleet.entries[number % len(self.fleet.entries)]
-            request = f"l-{next(numbers)}"
-            status, _, _ = self.fleet.call(entry, "GET", "/safe/x/", request=request)
-            self.statuses.append((time.monotonic(), status))
 
 
 @pytest.fixture
@@ -82,7 +52,7 @@
 
 def test_evacuated_zone_gets_no_calls_and_returns_when_it_is_withdrawn(fleet):
     # Guards against calls to a zone that the operators have emptied, and against calls lost by it.
-    with Load(fleet) as load:
+    with steady_load(fleet) as statuses:
         sleep(1.0)
         assert arrivals_in(fleet, "a")
         evacuated_s = time.monotonic()
@@ -94,7 +64,7 @@
         fleet.store.state.delete("evacuations", "a")
         sleep(AIM_S + 1.0)
         assert arrivals_in(fleet, "a", withdrawn_s)
-    assert {status for _, status in load.statuses} == {200}
+    assert set(statuses) == {200}
     for entry in fleet.entries:
         assert [event["zone"] for event in entry.events("evacuation_begun")] == ["a"]
         assert [event["zone"] for event in entry.events("evacuation_ended")] == ["a"]
@@ -105,7 +75,7 @@
     evacuated_s = time.monotonic()
     fleet.evacuate("a")
     sleep(AIM_S)
-    with Load(fleet):
+    with steady_load(fleet):
         fleet.store.state.is_down = True
         sleep(1.0)
         fleet.store.state.is_down = False
@@ -123,7 +93,7 @@
 
 def test_lost_answer_to_the_watch_delays_an_evacuation_within_its_bound(fleet):
     # Guards against entries that wait for an answer that the store sent and the network lost.
-    with Load(fleet):
+    with steady_load(fleet):
         fleet.store.state.loses_watch_answers = True
         evacuated_s = time.monotonic()
         fleet.evacuate("a")
@@ -136,7 +106,7 @@
 def test_empty_list_of_evacuations_costs_one_read_for_each_watcher(fleet):
     # Guards against reads of the topic again and again since nothing is listed.
     assert all(entry.is_ready() for entry in fleet.entries)
-    with Load(fleet):
+    with steady_load(fleet):
         sleep(1.0)
     started_at = fleet.store.state.call_count
     sleep(6.0)
@@ -148,7 +118,7 @@
 
 def test_endpoints_that_say_they_are_cold_get_no_more_than_they_bear(fleet):
     # Guards against full load from all entries on a zone whose endpoints return cold at once.
-    with Load(fleet) as load:
+    with steady_load(fleet) as statuses:
         sleep(1.0)
         cold = [item.state for item in fleet.endpoint_by_name.values() if item.zone == "a"]
         for state in cold:
@@ -163,5 +133,5 @@
         most = max((sum(s <= at < s + 1 for at in times_s) for s in times_s), default=0)
         assert most <= COLD_PER_S * 1.5 + 8
         assert len(times_s) >= 1
-    assert {status for _, status in load.statuses} == {200}
+    assert set(statuses) == {200}
     assert any(entry.events("endpoint_cold") for entry in fleet.entries)
