--- a/packages/cassiahaven-core/cassiahaven_core/pool.py
+++ b/packages/cassiahaven-core/cassiahaven_core/pool.py
@@ -660,6 +660,9 @@
         """
         if not counted and now_ms < endpoint.gate.full_until_ms:
             return True
+        if not counted and not spare and not endpoint.address.distance_ms:
+            # Short calls outpace the reports; only a probe right before the call is recent enough.
+            return False
         others = endpoint.decayed_others_in_flight(now_ms)
         taken = endpoint.in_flight + others - counted
         most = self._slot_limit.limit(endpoint.address.slots)
