Explain where a call would go: cassiahaven where

The command names host, path, method, account and zone. The entry answers from a copy of the state that decides: route and version, account and quota, the entries that callers of the zone use, whether the call would be sent, wait or be refused and until when, the endpoints in order with the reason for each, and the ages of what this relies on. The order comes from Pool.choose itself, so rules that are added to it take part.

--- a/packages/cassiahaven-cli/cassiahaven_cli/commands.py
+++ b/packages/cassiahaven-cli/cassiahaven_cli/commands.py
@@ -4,6 +4,7 @@
 import uuid
 from pathlib import Path
 from typing import Any
+from urllib.parse import urlencode
 
 from cassiahaven_cli.client import Client
 from cassiahaven_cli.failure import CommandFailed, ExitCode
@@ -14,6 +15,7 @@
     status_report,
     table_report,
     value_text,
+    where_report,
 )
 from cassiahaven_core.declaration import KnownNames, read_declarations
 from cassiahaven_core.finding import InvalidDocument
@@ -177,6 +179,35 @@
                 return _dump(plain) if json else explanation_report(plain)
         raise CommandFailed(f"no entry has a record of call {call_id}", ExitCode.NOT_FOUND)
 
+    def where(
+        self,
+        host: str,
+        path: str,
+        *,
+        method: str = "GET",
+        account: str = "",
+        zone: str = "",
+        json: bool = False,  # noqa: A002
+    ) -> str:
+        """Explain where a call would go now, and why; nothing is sent.
+
+        Args:
+            host: Host that the caller addresses.
+            path: Path of the call.
+            method: Method of the call.
+            account: Name of the client account; default: a call without a key.
+            zone: Availability zone of the caller; default: that of the entry.
+            json: Print JSON.
+        """
+        fields = {"host": host, "path": path, "method": method, "account": account, "zone": zone}
+        target = f"/v1/where?{urlencode(fields)}"
+        plain = self._client.get(target)
+        serving = plain["serving"]
+        if serving and plain["entry"] not in {item["name"] for item in serving}:
+            # Only the entry that would serve the call knows its own queues and slots.
+            plain = self._client.get_from(serving[0]["operators"], target) or plain
+        return _dump(plain) if json else where_report(plain)
+
     def drain(self, service: str, endpoint: str) -> str:
         """Stop sending new calls to an endpoint."""
         return self._set_drain(service, endpoint, True)
--- a/packages/cassiahaven-cli/cassiahaven_cli/report.py
+++ b/packages/cassiahaven-cli/cassiahaven_cli/report.py
@@ -74,6 +74,66 @@
     return f"{head}\n{columns(['ms', 'what', 'detail'], steps)}"
 
 
+def where_report(plain: dict[str, Any]) -> str:
+    """Format where a call would go, and why."""
+    serving = ", ".join(item["name"] for item in plain["serving"]) or "none"
+    lines = [
+        f"{plain['method']} {plain['host']}{plain['path']}, asked of {plain['entry']}",
+        f"route: {_route_text(plain['route'])}, configuration {plain['version']}",
+        f"account: {_account_text(plain['account'])}",
+        f"entries for callers in {plain['zone']}: {serving}",
+        f"call: {_verdict_text(plain)}",
+        f"age of the view of the store: {_ms(plain['ages_ms']['store'])}",
+    ]
+    if not plain["endpoints"]:
+        return "\n".join(lines)
+    header = ["", "endpoint", "zone", "why", "in flight", "cost", "slowness", "report", "status"]
+    rows = [
+        [
+            item["position"] or "-",
+            item["endpoint"],
+            item["availability_zone"],
+            item["reason"],
+            f"{item['in_flight']}/{item['limit']}",
+            f"{item['cost']:.2f}",
+            f"{item['slowness']:.2f}",
+            _ms(item["report_age_ms"]),
+            _ms(item["status_age_ms"]),
+        ]
+        for item in plain["endpoints"]
+    ]
+    return "\n".join(lines) + f"\n\n{columns(header, rows)}"
+
+
+def _route_text(plain: dict[str, Any] | None) -> str:
+    if plain is None:
+        return "none"
+    kind = "may be repeated" if plain["is_idempotent"] else "is sent once"
+    return f"{plain['name']}, service {plain['service']}, priority {plain['priority']}, {kind}"
+
+
+def _account_text(plain: dict[str, Any] | None) -> str:
+    if plain is None:
+        return "none"
+    quota = f"{plain['rate_per_s']:g} a second" if plain["rate_per_s"] else "no quota"
+    return f"{plain['name']}, {quota}, burst {plain['burst']:g}"
+
+
+def _verdict_text(plain: dict[str, Any]) -> str:
+    match plain["verdict"]:
+        case "sent":
+            return f"sent to {plain['endpoint']} at once"
+        case "waits":
+            return f"waits about {_ms(plain['wait_ms'])} behind {plain['waiting']} calls"
+    retry_after_ms = plain["retry_after_ms"]
+    until = "" if retry_after_ms is None else f", callers return after {_ms(retry_after_ms)}"
+    return f"refused: {plain['reason']}{until}"
+
+
+def _ms(value: float | None) -> str:
+    return "-" if value is None else f"{value:.0f} ms"
+
+
 def _configuration_report(plain: dict[str, Any]) -> str:
     rejected = [[item["table"], item["row"], item["finding"]] for item in plain["rejected"]]
     head = f"configuration {plain['version']}: {len(rejected)} rows rejected"
--- a/packages/cassiahaven-core/cassiahaven_core/pool.py
+++ b/packages/cassiahaven-core/cassiahaven_core/pool.py
@@ -323,7 +323,7 @@
                 continue
             if excluded and endpoint.address.endpoint in excluded:
                 continue
-            cost = self._cost(endpoint, now_ms)
+            cost = self.cost(endpoint, now_ms)
             if cost < best_cost:
                 best, best_cost = endpoint, cost
         return best
@@ -509,13 +509,18 @@
             return None
         endpoint.gate.give_back(started.at_ms, is_rate_limited=started.is_rate_limited)
         best = self.choose(now_ms, idempotent=False, excluded=excluded | {name})
-        if best is not None and self._cost(best, now_ms) < self._cost(endpoint, now_ms):
+        if best is not None and self.cost(best, now_ms) < self.cost(endpoint, now_ms):
             self.start(best, call_id, started.partner, now_ms)
             return best
         self.start(endpoint, call_id, started.partner, now_ms)
         return None
 
-    def _cost(self, endpoint: Endpoint, now_ms: float) -> float:
+    def slot_limit(self, endpoint: Endpoint) -> int:
+        """Return how many calls this entry may have in flight at an endpoint with free room."""
+        return self._slot_limit.limit(endpoint.gate.limit)
+
+    def cost(self, endpoint: Endpoint, now_ms: float) -> float:
+        """Return the expected cost of a call at an endpoint."""
         return endpoint.cost(self._typical_slowdown, now_ms)
 
     def _tie_break(self) -> float:
--- a/packages/cassiahaven-core/cassiahaven_core/route.py
+++ b/packages/cassiahaven-core/cassiahaven_core/route.py
@@ -1,6 +1,7 @@
 """Routing configuration: maps hosts and paths to services."""
 
 from collections.abc import Iterable
+from copy import copy, deepcopy
 from dataclasses import dataclass, field
 from enum import Enum
 
@@ -249,6 +250,12 @@
                 return route if isinstance(route, Route) else NoRouteReason.REJECTED_ROUTE
         return NoRouteReason.REJECTED_ROUTE if self._may_be_rejected else NoRouteReason.NO_ROUTE
 
+    def next_service(self, route: Route) -> str:
+        """Return the service that the next call gets, without counting a call."""
+        twin = copy(self)
+        twin._split_by_route = deepcopy(self._split_by_route)
+        return twin.choose_service(route)
+
     def choose_service(self, route: Route) -> str:
         """Return the service for the next call, in proportion to the route's weights.
 
--- a/packages/cassiahaven-core/cassiahaven_core/service.py
+++ b/packages/cassiahaven-core/cassiahaven_core/service.py
@@ -300,6 +300,10 @@
         ahead = self.admission.expected_calls_ahead(call.partner, call.priority)
         return ahead * self.pool.typical_latency_ms(call.latency_class) / slots
 
+    def expected_start_ms(self, call: WaitingCall, now_ms: float) -> float:
+        """Return the expected time until a waiting call is sent, milliseconds."""
+        return self._opens_in_ms(call, now_ms) + self._expected_wait_ms(call, now_ms)
+
     def retry_after_ms(self, call: WaitingCall, now_ms: float) -> float:
         """Return the delay after which to retry a refused call, milliseconds."""
         closed_for_ms = self.pool.closed_for_ms(now_ms)
--- a/packages/cassiahaven-core/cassiahaven_core/store_outage.py
+++ b/packages/cassiahaven-core/cassiahaven_core/store_outage.py
@@ -36,6 +36,10 @@
             self._recovered_ms = at_ms
         self._unanswered_since_ms = None
 
+    def age_ms(self, now_ms: float) -> float:
+        """Return the time since the store's last known answer, milliseconds."""
+        return now_ms - self._last_answer_ms
+
     def is_store_down(self, now_ms: float) -> bool:
         """Return whether requests went unanswered for at least ``MIN_OUTAGE_MS``."""
         if self._unanswered_since_ms is None:
--- a/packages/cassiahaven-entry/cassiahaven_entry/operator_api_base.py
+++ b/packages/cassiahaven-entry/cassiahaven_entry/operator_api_base.py
@@ -5,6 +5,7 @@
 from dataclasses import dataclass
 from http import HTTPStatus
 from typing import Any
+from urllib.parse import parse_qsl
 
 from cassiahaven_core.edge import StoreUnavailable
 from cassiahaven_core.explanation import Explanation
@@ -118,6 +119,10 @@
     def _effective(self, service: str, zone: str, partner: str) -> dict[str, Any]:
         """Return each effective value for a cell and the row that it comes from."""
 
+    def _where(self, query: dict[str, str]) -> Reply:
+        """Return where a call would go; only entries with routes can tell."""
+        return error_reply(HTTPStatus.NOT_FOUND, "this kind of entry has no routes")
+
     @abstractmethod
     def _find_explanation(self, call_id: str) -> Explanation | None:
         """Return the explanation of a call, ``None`` if this entry has none."""
@@ -131,6 +136,8 @@
                 return json_reply(self._names())
             case "GET", ["v1", "status"]:
                 return json_reply(self._status())
+            case "GET", ["v1", "where"]:
+                return self._where(dict(parse_qsl(environ.get("QUERY_STRING", ""))))
             case "GET", ["v1", "calls", call_id]:
                 return self._explanation(call_id)
             case "GET", ["v1", "table", service]:
--- a/packages/cassiahaven-entry/cassiahaven_entry/routed_calls.py
+++ b/packages/cassiahaven-entry/cassiahaven_entry/routed_calls.py
@@ -1,6 +1,7 @@
 """Calls that the routing table assigns to a service, from request to response."""
 
 from collections.abc import Callable
+from copy import copy
 from itertools import count
 
 from cassiahaven_core.admission import WaitingCall
@@ -81,6 +82,12 @@
             finished = Finished(Unknown(UnknownReason.INTERNAL))
         return self._respond(call, route, task, finished)
 
+    def sample(self, request: CallRequest, route: Route) -> WaitingCall:
+        """Return the call that ``request`` would become, without counting it."""
+        twin = copy(self)
+        twin._numbers = count(1)
+        return twin._waiting(request, route)
+
     def _waiting(self, request: CallRequest, route: Route) -> WaitingCall:
         arrived_ms = request.arrived_ms
         limit_ms = route.timeout_ms
--- a/packages/cassiahaven-entry/cassiahaven_entry/routed_node.py
+++ b/packages/cassiahaven-entry/cassiahaven_entry/routed_node.py
@@ -271,7 +271,7 @@
 
     def _answer_directory(self, environ: Environ) -> CallResponse:
         response = self._adapter.answer_directory(
-            environ, self._serving_entries, self.settings.address_lifetime_ms
+            environ, self.serving_entries, self.settings.address_lifetime_ms
         )
         if response.status != OK_STATUS:
             log(
@@ -284,7 +284,12 @@
             )
         return response
 
-    def _serving_entries(self, host: str, zone: str) -> list[Member]:
+    def store_age_ms(self) -> float:
+        """Return the age of this entry's view of the store, its own or a watcher's."""
+        return self.fleet.store.age_ms(now_ms())
+
+    def serving_entries(self, host: str, zone: str) -> list[Member]:
+        """Return the entries that callers in ``zone`` are told to use."""
         if not self.is_ready and not self.is_draining:
             return []
         return self.fleet.serving_entries(zone, SERVING_ENTRY_CORES, now_ms())
@@ -292,7 +297,7 @@
     def serving_entry_names(self) -> set[str]:
         """Return the entries that callers of any availability zone use."""
         zones = self.settings.region_by_zone
-        return {member.name for zone in zones for member in self._serving_entries("", zone)}
+        return {member.name for zone in zones for member in self.serving_entries("", zone)}
 
     def live_names(self) -> set[str]:
         """Return the names of the entries that this one considers live."""
--- a/packages/cassiahaven-entry/cassiahaven_entry/routed_operators.py
+++ b/packages/cassiahaven-entry/cassiahaven_entry/routed_operators.py
@@ -10,12 +10,14 @@
 from cassiahaven_core.explanation import Explanation
 from cassiahaven_core.route import RouteRule
 from cassiahaven_core.table_codec import row_to_plain
+from cassiahaven_entry.call_placement import CallPlacement
 from cassiahaven_entry.caller_dialect import Environ
 from cassiahaven_entry.operator_api_base import (
     BadRequest,
     BaseOperatorApi,
     Reply,
     endpoints_to_plain,
+    json_reply,
 )
 from cassiahaven_entry.routed_node import RoutedNode
 
@@ -146,6 +148,9 @@
             "endpoints": endpoints_to_plain(task.policy.pool),
         }
 
+    def _where(self, query: dict[str, str]) -> Reply:
+        return json_reply(CallPlacement(self._node, query).to_plain())
+
     def _find_explanation(self, call_id: str) -> Explanation | None:
         return self._node.calls.explanations.find(call_id)
 
--- a/packages/cassiahaven-entry/cassiahaven_entry/service_task.py
+++ b/packages/cassiahaven-entry/cassiahaven_entry/service_task.py
@@ -5,6 +5,7 @@
 from eventlet.event import Event
 
 from cassiahaven_core.admission import Admission, WaitingCall
+from cassiahaven_core.call_forecast import CallForecast, forecast_call
 from cassiahaven_core.closure import MAX_CLOSURE_MS
 from cassiahaven_core.endpoint import CallResult, LoadReport, ProbeFailed
 from cassiahaven_core.endpoint_address import EndpointAddress
@@ -61,6 +62,10 @@
             self._apply_limits(call.partner)
         return self._wait(call, self.policy.submit(call, now_ms()))
 
+    def forecast(self, call: WaitingCall) -> CallForecast:
+        """Return what would happen to a call that arrived now, without changing any state."""
+        return forecast_call(self.policy, call, self.effective_cell(call.partner), now_ms())
+
     def apply_probe(
         self,
         call: WaitingCall,
--- a/tests/test_platform_operators.py
+++ b/tests/test_platform_operators.py
@@ -150,3 +150,28 @@
     assert done.returncode == 2
     assert done.stderr.strip()
     assert "Traceback" not in done.stderr
+
+
+def test_where_explains_where_a_call_goes_and_sends_nothing(fleet, run_command, call):
+    # Operators could ask only about calls that had been made.
+    assert call(fleet.entries[0])[0] == 200
+
+    def where(*arguments):
+        done = run_command(fleet, "where", *arguments, "--json")
+        assert done.returncode == 0, done.stderr
+        return json.loads(done.stdout)
+
+    arrivals = [len(item.state.arrivals) for item in fleet.endpoint_by_name.values()]
+    found = where("h.example", "/safe/x/1", "--zone", "a")
+    assert (found["verdict"], found["version"]) == ("sent", fleet.version)
+    assert found["route"]["name"] == ROUTE
+    assert [item["position"] for item in found["endpoints"]] == [1, 2]
+    assert found["endpoints"][0]["endpoint"] == found["endpoint"]
+    assert found["entry"] in {item["name"] for item in found["serving"]}
+    assert found["ages_ms"]["store"] is not None
+    assert where("h.example", "/nowhere/")["reason"] == "no-route"
+    assert run_command(fleet, "where", "h.example", "/", "--account", "a").returncode == 2
+    shown = run_command(fleet, "where", "h.example", "/safe/x/1").stdout
+    assert f"sent to {found['endpoint']}" in shown or "sent to i-" in shown
+    assert "why" in shown
+    assert [len(item.state.arrivals) for item in fleet.endpoint_by_name.values()] == arrivals
