--- a/packages/cassiahaven-cli/cassiahaven_cli/report.py
+++ b/packages/cassiahaven-cli/cassiahaven_cli/report.py
@@ -25,15 +25,19 @@
 
 def table_report(plain: dict[str, Any]) -> str:
     """Format a service's rows and at how many entries each is in force."""
-    rows = []
-    for name, row in plain["rows"].items():
-        in_force = f"{row['in_force']}/{row['entries']}"
-        missing = ",".join(row["missing"]) or "-"
-        rows.append([name, value_text(row["value"]), row["version"], in_force, missing])
+    rows = _rollout_rows(plain["rows"])
     title = f"{plain['service']} at revision {plain['revision']}"
     return f"{title}\n{columns(['row', 'set to', 'version', 'in force', 'missing at'], rows)}"
 
 
+def configuration_report(rows: dict[str, Any]) -> str:
+    """Format rows of the configuration and at how many entries each is in force."""
+    if not rows:
+        return "the configuration has no such rows"
+    header = ["row", "set to", "version", "in force", "missing at"]
+    return columns(header, _rollout_rows(rows))
+
+
 def effective_report(zone: str, partner: str, plain: dict[str, Any]) -> str:
     """Format the fields in force for a zone and partner, each with its source row."""
     rows = [[name, item["value"], item["row"]] for name, item in plain.items()]
@@ -59,6 +63,10 @@
     ]
     if "configuration" in plain:
         parts.append(_configuration_report(plain["configuration"]))
+    if plain.get("evacuated"):
+        parts.append(f"evacuated availability zones: {', '.join(plain['evacuated'])}")
+    if plain.get("usage_caps"):
+        parts.append(_usage_caps_report(plain["usage_caps"]))
     for service, item in plain["services"].items():
         parts.append(_service_report(service, item))
     return "\n\n".join(parts)
@@ -134,12 +142,45 @@
     return "-" if value is None else f"{value:.0f} ms"
 
 
+def _rollout_rows(rows: dict[str, Any]) -> list[list[Any]]:
+    return [
+        [
+            name,
+            value_text(row["value"]),
+            row["version"],
+            f"{row['in_force']}/{row['entries']}",
+            ",".join(row["missing"]) or "-",
+        ]
+        for name, row in rows.items()
+    ]
+
+
 def _configuration_report(plain: dict[str, Any]) -> str:
     rejected = [[item["table"], item["row"], item["finding"]] for item in plain["rejected"]]
     head = f"configuration {plain['version']}: {len(rejected)} rows rejected"
     return f"{head}\n{columns(['table', 'row', 'why'], rejected)}" if rejected else head
 
 
+def _reason_text(endpoint: dict[str, Any]) -> str:
+    cold_ms = endpoint.get("cold_ms", 0)
+    reason = endpoint["reason"]
+    return f"{reason}; cold for {cold_ms / 1000:.1f} s more" if cold_ms else reason
+
+
+def _usage_caps_report(plain: dict[str, Any]) -> str:
+    rows = [
+        [
+            name,
+            item["rate_per_s"],
+            item["burst"],
+            f"{item['used']}/{item['quota']:g}",
+            " ".join(f"{entry}={share}" for entry, share in item["share_by_entry"].items()),
+        ]
+        for name, item in plain.items()
+    ]
+    return columns(["account", "calls a second", "burst", "used of quota", "shares"], rows)
+
+
 def _service_report(service: str, item: dict[str, Any]) -> str:
     revisions = " ".join(
         f"{entry}={revision}" for entry, revision in sorted(item["revision_by_entry"].items())
@@ -148,7 +189,7 @@
         [
             name,
             endpoint["status"],
-            endpoint["reason"],
+            _reason_text(endpoint),
             f"{endpoint['in_flight']}/{endpoint['slots']}",
             endpoint["slowness"],
             endpoint["failures"],
@@ -159,5 +200,8 @@
         f"{service}: active {','.join(item['active'])}; standby {','.join(item['standby'])}; "
         f"revision in force {revisions}"
     )
+    lost = ", ".join(item.get("lost_rows", []))
+    if lost:
+        head += f"\nrows lost in a restore of the store, to be written again: {lost}"
     header = ["endpoint", "status", "why", "in flight", "slowness", "failures"]
     return f"{head}\n{columns(header, rows)}"
--- a/packages/cassiahaven-core/cassiahaven_core/call_forecast.py
+++ b/packages/cassiahaven-core/cassiahaven_core/call_forecast.py
@@ -11,9 +11,12 @@
 from cassiahaven_core.pool import Pool
 from cassiahaven_core.service import Dispatch, Refuse, ServicePolicy
 from cassiahaven_core.table import CellValue
+from cassiahaven_core.zone_placement import CallNeed
 
 CHOSEN = "chosen"
 NEXT = "next"
+HELD_AT_HOME = "the call waits for a slot of its own zone"
+UNKNOWN_RULE = "left out by another rule"
 
 
 class Verdict(Enum):
@@ -66,6 +69,7 @@
         retry_after_ms: Time after which its caller is told to return, ``None`` unless refused.
         waiting: Calls that wait already.
         endpoints: All endpoints, first those that it would be sent to, in order.
+        left_zone: Why it would leave the entry's zone, empty if it would not.
     """
 
     verdict: Verdict
@@ -75,6 +79,7 @@
     retry_after_ms: float | None
     waiting: int
     endpoints: tuple[EndpointForecast, ...]
+    left_zone: str = ""
 
 
 def forecast_call(
@@ -94,15 +99,22 @@
     trial = _copy(policy)
     if call.partner not in trial.admission.partner_by_name:
         trial.admission.set_cell(call.partner, cell, now_ms)
-    endpoints = _order(_copy(policy).pool, call, now_ms)
+    endpoints = _order(_copy(policy), call, now_ms)
     waiting = trial.admission.waiting
     for effect in trial.submit(call, now_ms):
         if effect.call_id != call.call_id:
             continue
         match effect:
-            case Dispatch(address=address):
+            case Dispatch(address=address, left_zone=left_zone):
                 return CallForecast(
-                    Verdict.SENT, address.endpoint, "", 0.0, None, waiting, endpoints
+                    Verdict.SENT,
+                    address.endpoint,
+                    "",
+                    0.0,
+                    None,
+                    waiting,
+                    endpoints,
+                    left_zone=left_zone.value if left_zone is not None else "",
                 )
             case Refuse(reason=reason):
                 retry_after_ms = trial.retry_after_ms(call, now_ms)
@@ -121,11 +133,13 @@
     return deepcopy(policy, {id(item): item for item in shared})
 
 
-def _order(pool: Pool, call: WaitingCall, now_ms: float) -> tuple[EndpointForecast, ...]:
+def _order(policy: ServicePolicy, call: WaitingCall, now_ms: float) -> tuple[EndpointForecast, ...]:
     """Return the endpoints in the order of ``Pool.choose``, then those that it leaves out."""
+    pool = policy.pool
+    need = policy.need(call, now_ms, may_wait=True)
     # Finding the order may start trials, so what is told of the endpoints is taken before.
     left_out = {
-        name: _describe(pool, endpoint, now_ms)
+        name: _describe(pool, endpoint, need, now_ms)
         for name, endpoint in sorted(pool.endpoint_by_id.items())
     }
     notes_by_name = {
@@ -133,25 +147,40 @@
     }
     found: list[EndpointForecast] = []
     tried: frozenset[str] = frozenset()
-    while (chosen := pool.choose(now_ms, idempotent=call.idempotent, excluded=tried)) is not None:
+    while True:
+        chosen = pool.choose(now_ms, idempotent=call.idempotent, excluded=tried, need=need)
+        if chosen is None:
+            break
+        left_zone = pool.take_left_zone()
         name = chosen.address.endpoint
         tried |= {name}
-        reason = ", ".join([NEXT if found else CHOSEN, *notes_by_name[name]])
+        notes = notes_by_name[name]
+        if left_zone is not None:
+            notes.append(f"leaves the zone: {left_zone.value}")
+        reason = ", ".join([NEXT if found else CHOSEN, *notes])
         found.append(replace(left_out.pop(name), position=len(tried), reason=reason))
+        # Retries do not wait for a slot of the zone.
+        need = policy.need(call, now_ms, may_wait=False)
+    if pool.is_held_at_home:
+        left_out |= {
+            name: replace(item, reason=HELD_AT_HOME)
+            for name, item in left_out.items()
+            if item.reason == UNKNOWN_RULE
+        }
     return (*found, *left_out.values())
 
 
-def _describe(pool: Pool, endpoint: Endpoint, now_ms: float) -> EndpointForecast:
+def _describe(pool: Pool, endpoint: Endpoint, need: CallNeed, now_ms: float) -> EndpointForecast:
     gate, reported = endpoint.gate, endpoint.reported
     has_succeeded = endpoint.slowness_updated_ms > 0
     return EndpointForecast(
         endpoint=endpoint.address.endpoint,
         availability_zone=endpoint.address.availability_zone,
         position=None,
-        reason=_skip_reason(pool, endpoint, now_ms),
+        reason=_skip_reason(pool, endpoint, need, now_ms),
         in_flight=endpoint.in_flight,
-        limit=gate.limit,
-        cost=pool.cost(endpoint, now_ms),
+        limit=int(min(pool.slot_limit(endpoint), gate.limit)),
+        cost=pool.cost(endpoint, now_ms, need),
         slowness=endpoint.decayed_slowness(now_ms),
         distance_ms=endpoint.address.distance_ms,
         opens_in_ms=gate.opens_in_ms(now_ms),
@@ -167,7 +196,7 @@
     if endpoint.status is EndpointStatus.EJECTED:
         notes.append("due for a trial")
     if now_ms < endpoint.warm_up_ends_ms:
-        notes.append("warming up")
+        notes.append("warming up" if endpoint.gate.cold is None else "cold")
     if endpoint.address.distance_ms:
         notes.append("in another zone")
     if endpoint.consecutive_failures:
@@ -175,21 +204,32 @@
     return notes
 
 
-def _skip_reason(pool: Pool, endpoint: Endpoint, now_ms: float) -> str:
+def _skip_reason(pool: Pool, endpoint: Endpoint, need: CallNeed, now_ms: float) -> str:
     """Return why ``Pool.choose`` leaves an endpoint out; a rule added there is named here."""
     gate = endpoint.gate
+    if pool.is_evacuated(endpoint):
+        return f"zone {endpoint.address.availability_zone} is evacuated"
     if not endpoint.is_serving:
         until = ""
         if endpoint.status is EndpointStatus.EJECTED:
             until = f", for {max(0.0, endpoint.ejected_until_ms - now_ms):.0f} ms"
         return f"{endpoint.status.value}: {endpoint.status_reason}{until}"
+    if gate.cold is not None and gate.cold.opens_in_ms(now_ms) > 0:
+        cold_ms = f"cold for {gate.cold.ends_ms - now_ms:.0f} ms"
+        if not gate.cold.rate_per_s:
+            return f"{cold_ms}, this entry has no share of its calls"
+        return f"{cold_ms}, next call in {gate.cold.opens_in_ms(now_ms):.0f} ms"
     if gate.closed_for_ms(now_ms):
         return f"closed itself for {gate.closed_for_ms(now_ms):.0f} ms"
     if gate.closure is not None and not gate.closure.admits(endpoint.started_ms(), now_ms):
         return f"reopening, takes {gate.closure.room} calls"
     if gate.opens_in_ms(now_ms):
         return f"rate limit, for {gate.opens_in_ms(now_ms):.0f} ms"
-    limit = min(pool.slot_limit(endpoint), gate.room)
+    limit = pool.slot_limit(endpoint)
     if endpoint.in_flight >= limit:
-        return f"slots taken: {endpoint.in_flight} of {limit:.0f}"
-    return "left out by another rule"
+        until = ", returns after an ejection" if gate.reopening_room is not None else ""
+        return f"slots taken: {endpoint.in_flight} of {limit:.0f}{until}"
+    if pool.is_full(endpoint, need, now_ms):
+        others = endpoint.decayed_others_in_flight(now_ms)
+        return f"filled by other entries: about {others:.1f} calls of theirs"
+    return UNKNOWN_RULE
--- a/packages/cassiahaven-core/cassiahaven_core/edge.py
+++ b/packages/cassiahaven-core/cassiahaven_core/edge.py
@@ -9,10 +9,12 @@
 from cassiahaven_core.answer_record import AnswerRecord
 from cassiahaven_core.endpoint import CallResult, LoadReport, ProbeFailed
 from cassiahaven_core.endpoint_address import EndpointAddress
+from cassiahaven_core.evacuation import Evacuation
 from cassiahaven_core.membership import Member
 from cassiahaven_core.registry import Registration
 from cassiahaven_core.request_memory import Body
 from cassiahaven_core.route import GatewayConfig
+from cassiahaven_core.store_version import StoreVersion
 from cassiahaven_core.table import ServiceTable
 
 
@@ -38,7 +40,13 @@
 
 
 class VersionedStore(ABC):
-    """A key-value store with compare-and-set writes."""
+    """A key-value store with compare-and-set writes.
+
+    Attributes:
+        era: Number of times that the store was restored from a copy, as of its last answer.
+    """
+
+    era: int = 0
 
     @abstractmethod
     def get(self, key: str) -> StoredObject | None:
@@ -78,10 +86,11 @@
     CONFIGURATION = "configuration"
     ENDPOINTS = "endpoints"
     MEMBERS = "members"
+    EVACUATIONS = "evacuations"
     TABLES = "tables"
 
 
-FleetItem: TypeAlias = GatewayConfig | Registration | Member | ServiceTable
+FleetItem: TypeAlias = GatewayConfig | Registration | Member | ServiceTable | Evacuation
 
 
 @dataclass(frozen=True, slots=True)
@@ -91,11 +100,13 @@
     Attributes:
         item: New value, ``None`` if it was deleted or cannot be read.
         finding: Why the item cannot be read, empty if it can.
+        revision: Revision of the store that wrote the item, 0 if it is not known.
     """
 
     name: str
     item: FleetItem | None
     finding: str = ""
+    revision: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -104,11 +115,18 @@
 
     Attributes:
         is_whole: Whether this is a snapshot with all items of the topic.
+        era: Era of the store to which the revision belongs.
     """
 
     revision: int
     changes: list[FleetChange]
     is_whole: bool
+    era: int = 0
+
+    @property
+    def version(self) -> StoreVersion:
+        """Return the version of the store up to which the items changed."""
+        return StoreVersion(self.era, self.revision)
 
 
 class HistoryGone(Exception):
@@ -120,7 +138,7 @@
 
 
 class FleetStore(VersionedStore):
-    """The store of a fleet's configuration, endpoints, members and tables."""
+    """The store of a fleet's configuration, endpoints, members, tables and evacuations."""
 
     @abstractmethod
     def read(self, topic: Topic) -> FleetChanges:
@@ -221,6 +239,7 @@
         instance: Name of the endpoint that answered, ``None`` if the response does not tell.
         closed_for_ms: Time for which it wants no requests, ``None`` if it does not say.
         unreadable_closure: Text of such a time that cannot be read, ``None`` otherwise.
+        cold_ms: Remaining time for which the endpoint is cold, ``None`` if it does not say.
     """
 
     load: LoadReport | None = None
@@ -234,6 +253,7 @@
     instance: str | None = None
     closed_for_ms: float | None = None
     unreadable_closure: str | None = None
+    cold_ms: float | None = None
 
 
 class UpstreamDialect(ABC):
@@ -251,6 +271,17 @@
     ) -> tuple[tuple[str, str], ...]:
         """Return the headers to send to an upstream with a call."""
 
+    def account_headers(
+        self, headers: tuple[tuple[str, str], ...], account: str
+    ) -> tuple[tuple[str, str], ...]:
+        """Return a caller's headers without its key and with the name of its account.
+
+        Args:
+            headers: Headers as the caller sent them.
+            account: Name of the client account, empty for an anonymous call.
+        """
+        return headers
+
     @abstractmethod
     def read_head(
         self, status: int, headers: dict[str, str], request_id: str | None
@@ -370,9 +401,10 @@
     service: str
     method: str
     target: str
-    headers: tuple[tuple[str, str], ...]
+    # Left out of the text form, which may be logged: both can hold the caller's credentials.
+    headers: tuple[tuple[str, str], ...] = field(repr=False)
     body: Body
-    token: str | None
+    token: str | None = field(repr=False)
     key: str | None
     timeout_ms: float | None
     host: str = ""
--- a/packages/cassiahaven-core/cassiahaven_core/endpoint.py
+++ b/packages/cassiahaven-core/cassiahaven_core/endpoint.py
@@ -14,7 +14,6 @@
 OCCUPANCY_COST = 0.2
 NEARLY_FULL_COST = 1.5
 FULL_COST = 4.0  # a call queued at a full endpoint waits about twice its own service time
-COST_PER_DISTANCE_MS = 2.4  # half the cost of a slow neighbour; cross-zone traffic is billed
 FULL_TOLERANCE_SLOTS = 0.5  # the decayed count of other entries' calls is fractional
 FAILURE_PENALTY = 4.0
 MAX_FAILURE_PENALTIES = 8
@@ -50,6 +49,9 @@
 )
 
 
+NOT_RUN_RESULTS = frozenset({CallResult.CONNECT_FAILED, CallResult.REFUSED, CallResult.REPLACED})
+
+
 @dataclass(frozen=True, slots=True)
 class LoadReport:
     """Load reported by an endpoint.
@@ -59,12 +61,14 @@
         waiting: Calls in the endpoint's own queue.
         slowdown: Current slowdown factor of the endpoint's VM, 1 if normal.
         is_leaving: Whether the endpoint says that it leaves.
+        cold_ms: Remaining time for which it is cold, ``None`` if it does not say.
     """
 
     running: int
     waiting: int = 0
     slowdown: float = 1.0
     is_leaving: bool = False
+    cold_ms: float | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -75,12 +79,14 @@
         is_leaving: Whether the endpoint answered that it leaves.
         closed_for_ms: Time for which it wants no requests, ``None`` if it does not say.
         unreadable_closure: Text of such a time that cannot be read, ``None`` otherwise.
+        cold_ms: Remaining time for which it is cold, ``None`` if it does not say.
     """
 
     detail: str
     is_leaving: bool = False
     closed_for_ms: float | None = None
     unreadable_closure: str | None = None
+    cold_ms: float | None = None
 
 
 @dataclass(slots=True)
@@ -92,6 +98,7 @@
         is_sent: Whether the call was sent, so that load reports may include it.
         is_nearly_full: Whether the call occupies one of the endpoint's last slots.
         is_rate_limited: Whether the call was counted against the endpoint's rate limit.
+        is_cold: Whether the call was counted against what the cold endpoint bears.
     """
 
     partner: str
@@ -101,6 +108,7 @@
     is_sent: bool = False
     is_nearly_full: bool = False
     is_rate_limited: bool = False
+    is_cold: bool = False
 
 
 @dataclass(slots=True)
@@ -111,6 +119,10 @@
         slowness: EWMA of call latency relative to the typical latency of the partner.
         slowness_updated_ms: Time of the last successful call, which updated the slowness.
         failed_ms: Time of the last failed call.
+        ejections: Trials in a row that cost a caller its attempt, which lengthen the ejection.
+        ejected_until_ms: Time from which a call may try the endpoint.
+        probe_due_ms: Time from which a probe may try the endpoint.
+        is_unreachable: Whether the last trial found it unreachable or full, at no caller's cost.
         warm_up_ends_ms: End of the warm-up after a start.
         others_in_flight: Calls of other entries according to the last load report.
         probe_failed_ms: Time of the last failed or unanswered probe.
@@ -131,6 +143,8 @@
     consecutive_failures: int = 0
     ejections: int = 0
     ejected_until_ms: float = 0.0
+    probe_due_ms: float = 0.0
+    is_unreachable: bool = False
     reported: LoadReport | None = None
     reported_at_ms: float = float("-inf")
     others_in_flight: int = 0
@@ -157,7 +171,7 @@
     def cost(self, typical_slowdown: float, now_ms: float) -> float:
         """Return the cost of a call at the endpoint, relative to an idle endpoint (1).
 
-        Distance is added, not multiplied: it is incurred once, however slow the VM is.
+        It does not include the distance, which ``ZonePlacement`` weighs.
 
         Args:
             typical_slowdown: Usual slowdown factor of the service's VMs.
@@ -167,7 +181,6 @@
         slots = self.address.slots
         slowness = self.decayed_slowness(now_ms)
         cost = slowness * self.tie_break * self.expected_slowdown(typical_slowdown, now_ms)
-        distance = self.address.distance_ms * COST_PER_DISTANCE_MS
         if now_ms < self.warm_up_ends_ms:
             cost *= COLD_PENALTY
         if now_ms - self.probe_failed_ms < REPORT_DECAY_MS:
@@ -181,12 +194,12 @@
         elif taken + 1 > slots * NEARLY_FULL_SHARE:
             cost *= NEARLY_FULL_COST
         if not in_flight_by_call_id:
-            return cost + distance
+            return cost
         oldest = next(iter(in_flight_by_call_id.values()))
         ratio = (now_ms - oldest.at_ms) / (oldest.typical_latency_ms * oldest.slowdown)
         if ratio > SLOW_CALL_RATIO and ratio > slowness:
             cost *= ratio / slowness
-        return cost * (1 + OCCUPANCY_COST * taken / slots) + distance
+        return cost * (1 + OCCUPANCY_COST * taken / slots)
 
     def expected_slowdown(self, typical_slowdown: float, now_ms: float) -> float:
         """Return the VM's last reported slowdown, decayed with age towards the typical one."""
--- a/packages/cassiahaven-core/cassiahaven_core/peer_message.py
+++ b/packages/cassiahaven-core/cassiahaven_core/peer_message.py
@@ -1,5 +1,6 @@
 """Messages between entry processes and their CBOR encoding."""
 
+import zlib
 from dataclasses import dataclass, field, fields
 from hashlib import blake2b
 from typing import Any, TypeAlias
@@ -11,10 +12,17 @@
 from cassiahaven_core.outcome import NotRun, Outcome, Ran, Unknown
 from cassiahaven_core.reason import RefusalReason, UnknownReason
 from cassiahaven_core.steering import EntryAddress
+from cassiahaven_core.store_version import StoreVersion
 from cassiahaven_core.table import Row
 from cassiahaven_core.table_codec import row_from_plain, row_to_plain
+from cassiahaven_core.usage_cap import Claim, Claims
 
 DIGEST_BYTES = 8
+# Lists of registrations and names shrink to a fifth; heartbeats and small changes would not.
+LEAST_COMPRESSED_BYTES = 512
+COMPRESSION_LEVEL = 1  # a state of 22 kB takes 0.2 ms, and is encoded once for all subscribers
+COMPRESSED_MARK = b"\x00"  # no message starts with it, as each is an array
+LARGEST_DECOMPRESSED_BYTES = 64 * 1024 * 1024
 
 
 class MalformedMessage(Exception):
@@ -57,12 +65,17 @@
 
 @dataclass(frozen=True, slots=True)
 class TableRows:
-    """The rows of a service that changed since ``base_revision``, 0 for all rows."""
+    """The rows of a service that changed since ``base_revision``, 0 for all rows.
+
+    Attributes:
+        era: Era of the store from which the rows are.
+    """
 
     service: str
     revision: int
     row_by_name: dict[str, Row]
     base_revision: int = 0
+    era: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -109,6 +122,38 @@
     notices: list[RateLimitNotice]
 
 
+@dataclass(frozen=True, slots=True)
+class UsageClaims:
+    """Claims of one or more processes on the usage caps of client accounts."""
+
+    claims: list[Claims]
+
+
+@dataclass(frozen=True, slots=True)
+class UsageJoined:
+    """Tells a process that the sender knows its claims and has sent it all others.
+
+    Attributes:
+        number: Number of the claims.
+    """
+
+    number: int
+
+
+@dataclass(frozen=True, slots=True)
+class UsageNews:
+    """What a watcher knows of accounts besides single claims.
+
+    Attributes:
+        reached: Accounts whose calls have reached their caps.
+        minor_use: Calls in the window of entries that got no share, by account.
+    """
+
+    watcher: str
+    reached: list[str]
+    minor_use: dict[str, int]
+
+
 @dataclass(frozen=True, slots=True)
 class KeyQuestion:
     """Asks the owner of an idempotency key for the call's outcome or the right to run it.
@@ -142,7 +187,7 @@
 
 @dataclass(frozen=True, slots=True)
 class MemberReport:
-    """Tells a watcher that the sender is alive; sent by each of its subscribers.
+    """Tells a watcher the state of a subscriber; sent on connection and at each change.
 
     Attributes:
         version_by_topic: Version of each topic at the sender, empty if unchanged since its last
@@ -151,31 +196,84 @@
 
     name: str
     is_draining: bool
-    version_by_topic: dict[str, int] = field(default_factory=dict)
+    version_by_topic: dict[str, StoreVersion] = field(default_factory=dict)
+
+
+@dataclass(frozen=True, slots=True)
+class MemberPulse:
+    """Heartbeat of a subscriber: nothing changed since its last report on this connection."""
 
 
 @dataclass(frozen=True, slots=True)
 class WatcherReport:
-    """Tells subscribers which entries are alive and which fleet state the sender has.
+    """Tells a subscriber which entries are alive and which fleet state the sender has.
 
     Attributes:
         live: Entries that report to the sender, itself included.
         draining: Those of them that are draining because they stop.
         store_age_ms: Time since the store's last answer.
         version_by_topic: Version of each topic that the sender has.
+        sequence: Number of the last change that is included.
+        starting: Live entries that have no configuration yet, so callers cannot use them.
     """
 
     live: list[str]
     draining: list[str]
     store_age_ms: float
-    version_by_topic: dict[str, int]
+    version_by_topic: dict[str, StoreVersion]
+    sequence: int = 0
+    starting: list[str] = field(default_factory=list)
+
+
+@dataclass(frozen=True, slots=True)
+class WatcherReportChange:
+    """What changed in a watcher's report since the one with the number before.
+
+    Attributes:
+        version_by_topic: The versions that changed.
+        starting: Further entries that have no configuration yet.
+        started: Entries that have one by now, or are gone.
+    """
+
+    sequence: int
+    joined: list[str]
+    lost: list[str]
+    started_draining: list[str]
+    stopped_draining: list[str]
+    store_age_ms: float
+    version_by_topic: dict[str, StoreVersion]
+    starting: list[str] = field(default_factory=list)
+    started: list[str] = field(default_factory=list)
+
+    @property
+    def is_empty(self) -> bool:
+        """Return whether nothing but the store's age changed."""
+        return not (
+            self.joined
+            or self.lost
+            or self.started_draining
+            or self.stopped_draining
+            or self.version_by_topic
+            or self.starting
+            or self.started
+        )
 
 
 @dataclass(frozen=True, slots=True)
 class WatcherPulse:
-    """Heartbeat of a watcher: nothing but the store's age changed since its last report."""
+    """Heartbeat of a watcher: nothing but the store's age changed since its last report.
+
+    Attributes:
+        sequence: Number of the last change of its report.
+    """
 
     store_age_ms: float
+    sequence: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class ReportRequest:
+    """Requests a watcher's full report, as changes of it are missing."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -184,11 +282,13 @@
 
     Attributes:
         topic: Name of the topic.
-        revision: Revision that the sender has; later changes suffice. 0 requests a snapshot.
+        version: Version that the sender has; later changes suffice. 0 requests a snapshot.
+        digest: Digest of the items that the sender has, 0 without any.
     """
 
     topic: str
-    revision: int
+    version: StoreVersion
+    digest: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -198,12 +298,14 @@
     Attributes:
         is_whole: Whether this is a snapshot with all items of the topic.
         plain_by_name: Items as plain lists, ``None`` for a deleted one.
+        digest: Digest of all items of the sender, 0 if there is none.
     """
 
     topic: str
-    revision: int
+    version: StoreVersion
     is_whole: bool
     plain_by_name: dict[str, Any]
+    digest: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -227,12 +329,18 @@
     | DrainNotice
     | CrashNotice
     | RateLimitNotices
+    | UsageClaims
+    | UsageJoined
+    | UsageNews
     | KeyQuestion
     | KeyReply
     | ExplanationHandover
     | MemberReport
+    | MemberPulse
     | WatcherReport
+    | WatcherReportChange
     | WatcherPulse
+    | ReportRequest
     | StateRequest
     | StateNews
 )
@@ -247,17 +355,33 @@
         DrainNotice,
         CrashNotice,
         RateLimitNotices,
+        UsageClaims,
+        UsageJoined,
+        UsageNews,
         KeyQuestion,
         KeyReply,
         ExplanationHandover,
         MemberReport,
+        MemberPulse,
         WatcherReport,
+        WatcherReportChange,
         WatcherPulse,
+        ReportRequest,
         StateRequest,
         StateNews,
     )
 }
 
+# Numbers in place of the names of short messages that are sent often.
+_NUMBER_BY_CLASS: dict[type, int] = {
+    MemberPulse: 1,
+    WatcherPulse: 2,
+    WatcherReportChange: 3,
+    StateRequest: 4,
+}
+_VERSIONS_POSITION_BY_CLASS = {MemberReport: 2, WatcherReport: 3, WatcherReportChange: 6}
+_CLASS_BY_NUMBER = {number: item for item, number in _NUMBER_BY_CLASS.items()}
+
 
 def revision_digest(revision_by_service: dict[str, int]) -> bytes:
     """Return a short digest of the revisions; collisions are very unlikely."""
@@ -269,7 +393,7 @@
 
 
 def encode(message: PeerMessage) -> bytes:
-    """Return ``message`` as a CBOR array: its class name, then its fields in order."""
+    """Return ``message`` as a CBOR array: its class name or number, then its fields in order."""
     values = [getattr(message, item.name) for item in fields(message)]
     match message:
         case Introduction(entry=entry):
@@ -278,9 +402,26 @@
             values[2] = {name: row_to_plain(row) for name, row in rows.items()}
         case RateLimitNotices(notices=notices):
             values[0] = [[getattr(item, part.name) for part in fields(item)] for item in notices]
+        case UsageClaims(claims=claims):
+            values[0] = [_claims_to_plain(item) for item in claims]
         case KeyReply(reply=reply):
             values[1] = _reply_to_plain(reply)
-    return cbor2.dumps([type(message).__name__, *values])
+        case MemberReport(version_by_topic=versions):
+            values[2] = _versions_to_plain(versions)
+        case WatcherReport(version_by_topic=versions):
+            values[3] = _versions_to_plain(versions)
+        case StateRequest(version=version) | StateNews(version=version):
+            values[1] = StoreVersion.of(version).to_plain()
+        case WatcherPulse(store_age_ms=store_age_ms):
+            values[0] = round(store_age_ms)  # at most 5 bytes in place of 9
+        case WatcherReportChange(store_age_ms=store_age_ms, version_by_topic=versions):
+            values[5] = round(store_age_ms)
+            values[6] = _versions_to_plain(versions)
+    kind = type(message)
+    data = cbor2.dumps([_NUMBER_BY_CLASS.get(kind, kind.__name__), *values])
+    if len(data) < LEAST_COMPRESSED_BYTES:
+        return data
+    return COMPRESSED_MARK + zlib.compress(data, COMPRESSION_LEVEL)
 
 
 def encode_once(message: PeerMessage) -> Encoded:
@@ -295,6 +436,8 @@
         MalformedMessage: The bytes are not valid CBOR or not a known message.
     """
     try:
+        if data.startswith(COMPRESSED_MARK):
+            data = zlib.decompressobj().decompress(data[1:], LARGEST_DECOMPRESSED_BYTES)
         tag, *values = cbor2.loads(data)
         match tag:
             case "Introduction":
@@ -303,10 +446,21 @@
                 values[2] = {name: row_from_plain(row) for name, row in values[2].items()}
             case "RateLimitNotices":
                 values[0] = [RateLimitNotice(*item) for item in values[0]]
+            case "UsageClaims":
+                values[0] = [_claims_from_plain(item) for item in values[0]]
             case "KeyReply":
                 values[1] = _reply_from_plain(values[1])
-        return _CLASS_BY_TAG[tag](*values)
+        kind = _CLASS_BY_NUMBER[tag] if isinstance(tag, int) else _CLASS_BY_TAG[tag]
+        position = _VERSIONS_POSITION_BY_CLASS.get(kind)
+        if position is not None:
+            values[position] = {
+                topic: StoreVersion.of(plain) for topic, plain in values[position].items()
+            }
+        elif kind in (StateRequest, StateNews):
+            values[1] = StoreVersion.of(values[1])
+        return kind(*values)
     except (
+        zlib.error,
         cbor2.CBORDecodeError,
         ValueError,
         TypeError,
@@ -316,6 +470,23 @@
         raise MalformedMessage(f"{type(error).__name__}: {error}") from None
 
 
+def _claims_to_plain(claims: Claims) -> list[Any]:
+    plain = [getattr(claims, item.name) for item in fields(claims)]
+    plain[-1] = {
+        name: [claim.rate_per_s, claim.used] for name, claim in claims.claim_by_account.items()
+    }
+    return plain
+
+
+def _claims_from_plain(plain: list[Any]) -> Claims:
+    *values, claims = plain
+    return Claims(*values, {name: Claim(*claim) for name, claim in claims.items()})
+
+
+def _versions_to_plain(versions: dict[str, StoreVersion]) -> dict[str, int | list[int]]:
+    return {topic: StoreVersion.of(version).to_plain() for topic, version in versions.items()}
+
+
 def outcome_to_plain(outcome: Outcome) -> list[Any]:
     """Return ``outcome`` as a list that starts with its kind."""
     match outcome:
--- a/packages/cassiahaven-core/cassiahaven_core/pool.py
+++ b/packages/cassiahaven-core/cassiahaven_core/pool.py
@@ -4,8 +4,11 @@
 from collections import Counter
 from random import Random
 
+from cassiahaven_core.cold_start import ColdShare, ColdStart
 from cassiahaven_core.endpoint import (
     FAILED_RESULTS,
+    FULL_TOLERANCE_SLOTS,
+    NOT_RUN_RESULTS,
     CallResult,
     Endpoint,
     InFlightCall,
@@ -19,20 +22,31 @@
 from cassiahaven_core.rate_limit import (
     MS_PER_S,
     NOTICE_LIFETIME_MS,
-    UNLIMITED,
     RateShare,
 )
 from cassiahaven_core.slot_limit import NEARLY_FULL_SHARE, AdaptiveSlotLimit
+from cassiahaven_core.zone_placement import (
+    ANY_NEED,
+    CallNeed,
+    HomeZone,
+    ZonePlacement,
+    ZoneReason,
+)
 
 SLOWNESS_EWMA_ALPHA = 0.05
 PARTNER_LATENCY_EWMA_ALPHA = 0.02
 INITIAL_PARTNER_LATENCY_MS = 5.0
 MAX_SLOWNESS = 50.0
 FAILURES_BEFORE_EJECTION = 3
-BASE_EJECTION_MS = 1000.0
+BASE_EJECTION_MS = 1000.0  # an endpoint is to be back in use within 2 s of its recovery
 MAX_EJECTION_MS = 30_000.0
 MAX_EJECTED_SHARE = 0.5
+LOST_WHEN_FULL_RESULTS = frozenset({CallResult.CONNECTION_LOST, CallResult.REFUSED})
+FULL_LOSS_MEMORY_MS = 60_000.0  # several times as long as a surge of the load
+FULL_RECHECK_SHARE = 0.25  # of the usual time of a call
 CALL_TRIAL_HEAD_START_MS = 200.0  # a trial by an idempotent call tells more than one by a probe
+# Bounds the retries that trials cost while many endpoints are out; probes try the others.
+CALL_TRIAL_INTERVAL_MS = 200.0
 TIE_BREAK = 0.02
 MIN_TYPICAL_LATENCY_MS = 0.1
 MIN_SLOWNESS = 0.01
@@ -53,35 +67,55 @@
 
     Attributes:
         leaving: Endpoints that told this entry that they leave.
+        placement: Decides which calls leave the zone of this entry.
+        is_held_at_home: Whether the last choice found none since the call waits for its own zone.
     """
 
     __slots__ = (
         "endpoint_by_id",
         "leaving",
+        "placement",
+        "is_held_at_home",
         "typical_latency_ms_by_partner",
         "_answers_by_partner",
+        "_relaxed_latency_ms_by_partner",
         "_share",
         "_rng",
+        "_left_zone",
         "_ejected",
+        "_call_trial_from_ms",
+        "_lost_when_full_ms",
         "_serving",
         "_typical_slowdown",
         "_slot_limit",
         "_rate_share",
+        "_cold_per_s",
+        "_cold_share",
+        "_evacuated",
         "_delisted_gates",
     )
 
     def __init__(self, *, share: SlotShare = FULL_SLOT_SHARE, rng: Random | None = None) -> None:
         self.endpoint_by_id: dict[str, Endpoint] = {}
         self.leaving = LeavingEndpoints()
+        self.placement = ZonePlacement()
         self.typical_latency_ms_by_partner: dict[str, float] = {}
         self._answers_by_partner: Counter[str] = Counter()
+        self._relaxed_latency_ms_by_partner: dict[str, float] = {}
         self._share = share
         self._rng = rng or Random()
+        self.is_held_at_home = False
+        self._left_zone: ZoneReason | None = None
         self._ejected: set[str] = set()
+        self._call_trial_from_ms = float("-inf")
+        self._lost_when_full_ms = float("-inf")
         self._serving: list[Endpoint] = []
         self._typical_slowdown = 1.0
         self._slot_limit = AdaptiveSlotLimit()
         self._rate_share = RateShare()
+        self._cold_per_s = 0.0
+        self._cold_share = ColdShare()
+        self._evacuated: frozenset[str] = frozenset()
         self._delisted_gates: dict[tuple[str, str], EndpointGate] = {}
 
     def set_endpoints(
@@ -103,7 +137,10 @@
             if known is not None and known.address.incarnation == address.incarnation:
                 if known.address.warm_up_ms != address.warm_up_ms:
                     known.warm_up_ends_ms = now_ms + address.warm_up_ms
+                is_cold_again = known.address.cold_ends_ms != address.cold_ends_ms
                 known.address = address
+                if is_cold_again:
+                    self._extend_cold(known, now_ms)
                 continue
             warm_up_ends_ms = now_ms + address.warm_up_ms
             self.endpoint_by_id[name] = Endpoint(
@@ -113,6 +150,7 @@
                 gate=self._delisted_gates.pop((name, address.incarnation), None) or EndpointGate(),
             )
             self._ejected.discard(name)
+            self._extend_cold(self.endpoint_by_id[name], now_ms)
             leaving = self.leaving.find(name, address.incarnation)
             if leaving is not None:
                 upheld.append(address)
@@ -140,6 +178,68 @@
             if limit is not None:
                 limit.change(limit.limit_per_s, share, now_ms)
 
+    def set_evacuated(self, zones: frozenset[str], now_ms: float) -> None:
+        """Set the availability zones whose endpoints get no calls; calls in flight finish."""
+        if zones == self._evacuated:
+            return
+        returned = self._evacuated - zones
+        self._evacuated = zones
+        for endpoint in self.endpoint_by_id.values():
+            if endpoint.address.availability_zone in returned:
+                # All entries return at about the same time, and the endpoints may be cold.
+                endpoint.gate.reopen(now_ms)
+                endpoint.probe_tokens = 0.0
+                endpoint.probe_refilled_ms = now_ms
+        self._index()
+
+    def set_cold_limit(self, cold_per_s: float, now_ms: float) -> None:
+        """Set the calls a second that a cold endpoint bears, 0 for no limit."""
+        if cold_per_s == self._cold_per_s:
+            return
+        self._cold_per_s = cold_per_s
+        for endpoint in self.endpoint_by_id.values():
+            if not cold_per_s:
+                endpoint.gate.cold = None
+            elif endpoint.gate.cold is None:
+                self._extend_cold(endpoint, now_ms)
+        self.set_cold_share(self._cold_share, now_ms)
+
+    def set_cold_share(self, share: ColdShare, now_ms: float) -> None:
+        """Set this entry's share of the calls to cold endpoints, and end what is over."""
+        self._cold_share = share
+        if not self._cold_per_s:
+            return
+        for endpoint in self.endpoint_by_id.values():
+            self._end_cold(endpoint, now_ms)
+            cold = endpoint.gate.cold
+            if cold is not None:
+                cold.change(self._cold_rate_per_s(endpoint), share.ends_ms, now_ms)
+
+    def record_cold(self, name: str, incarnation: str, left_ms: float, now_ms: float) -> None:
+        """Apply the remaining cold time that an endpoint named itself, 0 if it is warm."""
+        endpoint = self.endpoint_by_id.get(name)
+        if endpoint is None or endpoint.address.incarnation != incarnation:
+            return
+        if left_ms > 0:
+            self._set_cold(endpoint, now_ms + left_ms, now_ms)
+        elif endpoint.gate.cold is not None:
+            endpoint.gate.cold.ends_ms = now_ms
+            endpoint.warm_up_ends_ms = now_ms
+            self._end_cold(endpoint, now_ms)
+
+    def is_cold(self, name: str) -> bool:
+        """Return whether an endpoint is cold and its calls are limited."""
+        endpoint = self.endpoint_by_id.get(name)
+        return endpoint is not None and endpoint.gate.cold is not None
+
+    def cold_left_ms_by_name(self, now_ms: float) -> dict[str, float]:
+        """Return the remaining time of each cold endpoint whose calls are limited."""
+        return {
+            name: endpoint.gate.cold.ends_ms - now_ms
+            for name, endpoint in self.endpoint_by_id.items()
+            if endpoint.gate.cold is not None and now_ms < endpoint.gate.cold.ends_ms
+        }
+
     def handle(self, name: str, event: EndpointEvent, reason: str, now_ms: float) -> bool:
         """Apply a lifecycle event and return whether the endpoint's status changed."""
         endpoint = self.endpoint_by_id.get(name)
@@ -151,7 +251,9 @@
         endpoint.status = status
         endpoint.status_reason = reason
         endpoint.since_ms = now_ms
-        if status is EndpointStatus.COLD:
+        if event is EndpointEvent.SUCCEEDED:
+            endpoint.gate.start_reopening()
+        elif status is EndpointStatus.COLD:
             endpoint.warm_up_ends_ms = max(endpoint.warm_up_ends_ms, now_ms + DEFAULT_WARM_UP_MS)
         if status in (EndpointStatus.EJECTED, EndpointStatus.TRIAL):
             self._ejected.add(name)
@@ -183,16 +285,39 @@
         endpoint = self.endpoint_by_id.get(address.endpoint)
         if endpoint is None or endpoint.address.incarnation != address.incarnation:
             return False
-        if endpoint.gate.closed_for_ms(now_ms):
+        if endpoint.gate.closed_for_ms(now_ms) or self.is_evacuated(endpoint):
             return False
         return endpoint.is_serving or endpoint.status is EndpointStatus.TRIAL
 
+    def was_found_full(
+        self, name: str, call_id: str, now_ms: float, *, idempotent: bool = True
+    ) -> bool:
+        """Return whether the calls of other entries fill a call's endpoint, as reported since.
+
+        Args:
+            name: The endpoint that the call is counted at, but not sent to.
+            call_id: The call.
+            now_ms: Current time, milliseconds.
+            idempotent: Whether the call may run twice.
+        """
+        endpoint = self.endpoint_by_id.get(name)
+        started = endpoint.in_flight_by_call_id.get(call_id) if endpoint is not None else None
+        if started is None or endpoint.reported_at_ms < started.at_ms:
+            return False
+        spare = 0 if idempotent else self._spare_slots(now_ms)
+        if not self._is_full(endpoint, now_ms, spare=spare, counted=1):
+            return False
+        # About the time until some of its calls end; asking earlier would only cost probes.
+        recheck_ms = self.typical_latency_ms(started.partner) * FULL_RECHECK_SHARE
+        endpoint.gate.full_until_ms = now_ms + recheck_ms
+        return True
+
     def has_serving_endpoint(self) -> bool:
         """Return whether any endpoint accepts new calls."""
         return bool(self._serving)
 
     def opens_in_ms(self, now_ms: float, tried: frozenset[str] = frozenset()) -> float:
-        """Return the time until rate limit and closure of some endpoint let a call through.
+        """Return the time until the gate of some endpoint lets a call through.
 
         Args:
             now_ms: Current time, milliseconds.
@@ -206,9 +331,10 @@
         for endpoint in self._serving:
             if endpoint.address.endpoint in tried:
                 continue
-            if endpoint.gate.rate_limit is None and endpoint.gate.closure is None:
+            gate = endpoint.gate
+            if gate.rate_limit is None and gate.closure is None and gate.cold is None:
                 return 0.0
-            soonest = min(soonest, endpoint.gate.opens_in_ms(now_ms))
+            soonest = min(soonest, gate.opens_in_ms(now_ms))
         return soonest
 
     def closed_for_ms(self, now_ms: float, tried: frozenset[str] = frozenset()) -> float:
@@ -266,22 +392,36 @@
         """
         slots = 0.0
         for endpoint in self._serving:
-            limit = float(self._slot_limit.limit(endpoint.gate.limit))
+            limit = min(
+                float(self._slot_limit.limit(endpoint.gate.limit)), endpoint.gate.most_in_flight
+            )
             if endpoint.gate.closure is not None:
                 is_closed = endpoint.gate.closed_for_ms(now_ms) > 0
                 limit = 0.0 if is_closed else min(limit, endpoint.gate.closure.room)
             if endpoint.gate.rate_limit is not None:
                 limit = min(limit, endpoint.gate.rate_limit.rate_per_s * latency_ms / MS_PER_S)
+            if endpoint.gate.cold is not None and now_ms < endpoint.gate.cold.ends_ms:
+                limit = min(limit, endpoint.gate.cold.rate_per_s * latency_ms / MS_PER_S)
             slots += limit
         return slots
 
+    def busy_slots(self) -> float:
+        """Return the calls of this entry in flight, if no endpoint limits or refuses them.
+
+        While calls wait, these are all slots that the other entries leave to this one.
+        """
+        if any(item.gate.rate_limit or item.gate.closure for item in self._serving):
+            return math.inf
+        return max(1.0, sum(item.in_flight for item in self._serving))
+
     def serving_rate_per_s(self) -> float:
         """Return the calls a second of this entry at all serving endpoints, if all are limited."""
-        limits = [endpoint.gate.rate_limit for endpoint in self._serving]
-        return sum(UNLIMITED if limit is None else limit.rate_per_s for limit in limits)
+        return sum(endpoint.gate.rate_per_s for endpoint in self._serving)
 
     def has_due_trial(self, now_ms: float) -> bool:
         """Return whether an ejected endpoint is due for a trial with one idempotent call."""
+        if now_ms < self._call_trial_from_ms:
+            return False
         return any(self._is_trial_due(self.endpoint_by_id[name], now_ms) for name in self._ejected)
 
     def typical_latency_ms(self, partner: str) -> float:
@@ -297,65 +437,112 @@
         return self.typical_latency_ms(partner) * MAX_WORK_RATIO * slowness
 
     def choose(
-        self, now_ms: float, *, idempotent: bool, excluded: frozenset[str] = frozenset()
+        self,
+        now_ms: float,
+        *,
+        idempotent: bool,
+        excluded: frozenset[str] = frozenset(),
+        need: CallNeed = ANY_NEED,
     ) -> Endpoint | None:
-        """Return the endpoint with the lowest expected cost, or ``None`` if all are full.
+        """Return the endpoint with the lowest expected cost, or ``None`` if the call has to wait.
 
         Args:
             now_ms: Current time, milliseconds.
             idempotent: Whether the call may serve as the trial of an ejected endpoint.
             excluded: Endpoints that the call has already been sent to.
+            need: What the place of the call depends on.
         """
+        self._left_zone = None
+        self.is_held_at_home = False
         if idempotent and self._ejected:
             trial = self._due_trial(now_ms, excluded)
             if trial is not None:
                 return trial
+        home = HomeZone()
+        spare = 0 if need.may_run_twice else self._spare_slots(now_ms)
         best: Endpoint | None = None
         best_cost = float("inf")
         for endpoint in self._serving:
             gate = endpoint.gate
-            limit = min(self._slot_limit.limit(gate.limit), gate.room)
+            if gate.cold is not None:
+                self._end_cold(endpoint, now_ms)
+                if gate.cold is not None and gate.cold.opens_in_ms(now_ms) > 0:
+                    continue
+            distance_ms = endpoint.address.distance_ms
+            limit = min(self._slot_limit.limit(gate.limit), gate.most_in_flight)
+            if not distance_ms and not gate.closed_for_ms(now_ms):
+                home.slots += limit
             if len(endpoint.in_flight_by_call_id) >= limit:
                 continue
+            if self._is_full(endpoint, now_ms, spare=spare):
+                continue
             if gate.closure is not None and not gate.closure.admits(endpoint.started_ms(), now_ms):
                 continue
             if gate.rate_limit is not None and gate.opens_in_ms(now_ms) > 0:
                 continue
             if excluded and endpoint.address.endpoint in excluded:
                 continue
-            cost = self.cost(endpoint, now_ms)
+            cost = self.cost(endpoint, now_ms, need)
             if cost < best_cost:
                 best, best_cost = endpoint, cost
+            if not distance_ms and cost < home.cost:
+                home.best, home.cost = endpoint, cost
+        if best is not None and best.address.distance_ms:
+            if self.placement.waits_at_home(home, need):
+                self.is_held_at_home = True
+                return None
+            self._left_zone = self.placement.reason(home)
         return best
 
+    def take_left_zone(self) -> ZoneReason | None:
+        """Return why the last chosen endpoint is in another zone, ``None`` if it is not."""
+        reason, self._left_zone = self._left_zone, None
+        return reason
+
     def start_probe_trial(self, now_ms: float) -> EndpointAddress | None:
         """Start the trial of an ejected endpoint by a probe, if one is due.
 
-        Handles services without idempotent calls, whose ejected endpoints would stay out for good.
+        Handles services without idempotent calls, whose ejected endpoints would stay out for good,
+        and unreachable endpoints, whose recovery a probe finds at no caller's cost.
         """
-        for name in self._ejected:
-            endpoint = self.endpoint_by_id[name]
-            if self._is_trial_due(endpoint, now_ms - CALL_TRIAL_HEAD_START_MS):
-                endpoint.gate.count_sent(now_ms)
-                self.handle(name, EndpointEvent.TRIAL, "probe due", now_ms)
-                return endpoint.address
-        return None
+        due = [
+            endpoint
+            for name in self._ejected
+            if self._is_probe_trial_due(endpoint := self.endpoint_by_id[name], now_ms)
+        ]
+        if not due:
+            return None
+        endpoint = min(due, key=lambda item: (item.probe_due_ms, item.address.endpoint))
+        endpoint.gate.count_sent(now_ms)
+        self.handle(endpoint.address.endpoint, EndpointEvent.TRIAL, "probe due", now_ms)
+        return endpoint.address
 
     def finish_probe_trial(
         self, name: str, report: LoadReport | ProbeFailed, now_ms: float
     ) -> None:
         """Return a probed endpoint to service, or eject it until its next trial.
 
-        It keeps its count of failures, so that one more failed call ejects it again.
+        An endpoint that was unreachable or full and no longer is returns at once. One that answered
+        its probes all the time and failed calls returns only when its ejection ends. In both cases,
+        one more failed call ejects it again.
         """
         endpoint = self.endpoint_by_id.get(name)
         if endpoint is None or endpoint.status is not EndpointStatus.TRIAL:
             return
+        endpoint.probe_due_ms = now_ms + BASE_EJECTION_MS
         if isinstance(report, ProbeFailed):
-            endpoint.ejected_until_ms = now_ms + BASE_EJECTION_MS
-            self.handle(name, EndpointEvent.FAILING, f"probe failed: {report.detail}", now_ms)
+            self._keep_ejected(endpoint, f"probe failed: {report.detail}", now_ms)
             return
         self.report_load(name, report, now_ms)
+        if report.waiting and report.running >= endpoint.address.slots:
+            self._keep_ejected(endpoint, "probe found it full", now_ms)
+            return
+        if not endpoint.is_unreachable and now_ms < endpoint.ejected_until_ms:
+            reason = "probe answered, as before the failed calls"
+            self.handle(name, EndpointEvent.FAILING, reason, now_ms)
+            return
+        endpoint.consecutive_failures = FAILURES_BEFORE_EJECTION - 1
+        self._end_ejection(endpoint)
         self.handle(name, EndpointEvent.SUCCEEDED, "probe answered", now_ms)
 
     def start(self, endpoint: Endpoint, call_id: str, partner: str, now_ms: float) -> None:
@@ -369,6 +556,7 @@
             slowdown,
             is_nearly_full=taken + 1 > endpoint.address.slots * NEARLY_FULL_SHARE,
             is_rate_limited=endpoint.gate.rate_limit is not None,
+            is_cold=endpoint.gate.cold is not None,
         )
         endpoint.gate.count_sent(now_ms)
 
@@ -381,11 +569,16 @@
         if started is None:
             return
         if not started.is_sent:
-            endpoint.gate.give_back(started.at_ms, is_rate_limited=started.is_rate_limited)
+            self._give_back(endpoint, started)
         if result is CallResult.UNANSWERED or (
             result is CallResult.TIMEOUT and self._is_unexplained(endpoint, started, now_ms)
         ):
             endpoint.gate.room = max(1.0, min(endpoint.gate.room, float(endpoint.in_flight)))
+        if result is CallResult.CONNECT_FAILED and self._cold_per_s:
+            # A process that starts anew under the old registration is cold before that is known.
+            endpoint.gate.reopen(now_ms)
+        if result in LOST_WHEN_FULL_RESULTS and started.is_nearly_full:
+            self._lost_when_full_ms = now_ms
         if result is CallResult.OK:
             self._record_success(endpoint, started, now_ms)
         elif result is CallResult.REFUSED and endpoint.gate.closed_for_ms(now_ms):
@@ -394,6 +587,8 @@
                 self.handle(name, EndpointEvent.FAILING, "closed itself", now_ms)
         elif result in FAILED_RESULTS:
             self._record_failure(endpoint, result, now_ms)
+        elif endpoint.status is EndpointStatus.TRIAL and not started.is_sent:
+            self._end_trial_unsent(endpoint, now_ms)
         elif endpoint.status is EndpointStatus.TRIAL:
             self.handle(name, EndpointEvent.FAILING, "trial cancelled", now_ms)
         endpoint.tie_break = self._tie_break()
@@ -407,6 +602,7 @@
         endpoint.reported_at_ms = now_ms
         own = sum(started.is_sent for started in endpoint.in_flight_by_call_id.values())
         endpoint.others_in_flight = max(0, report.running + report.waiting - own)
+        endpoint.gate.full_until_ms = float("-inf")
         self._typical_slowdown += SLOWDOWN_EWMA_ALPHA * (report.slowdown - self._typical_slowdown)
 
     def apply_rate_limit(
@@ -481,9 +677,14 @@
         endpoint = self.endpoint_by_id.get(name)
         if endpoint is None or now_ms - endpoint.reported_at_ms < FRESH_REPORT_MS:
             return False
+        if self.is_evacuated(endpoint):
+            return False
         if endpoint.gate.rate_limit is not None or endpoint.gate.closed_for_ms(now_ms):
             # A probe is a request too, and the endpoint asks for fewer or none.
             return False
+        if endpoint.gate.cold is not None:
+            # It would take the place of a call, whose answer tells as much.
+            return False
         earned = (now_ms - endpoint.probe_refilled_ms) / MS_PER_S * rate_per_s
         endpoint.probe_refilled_ms = now_ms
         endpoint.probe_tokens = min(max(1.0, rate_per_s), endpoint.probe_tokens + earned)
@@ -493,7 +694,13 @@
         return True
 
     def move(
-        self, name: str, call_id: str, now_ms: float, *, excluded: frozenset[str]
+        self,
+        name: str,
+        call_id: str,
+        now_ms: float,
+        *,
+        excluded: frozenset[str],
+        need: CallNeed = ANY_NEED,
     ) -> Endpoint | None:
         """Move a call that has not been sent yet to a cheaper endpoint, if there is one.
 
@@ -502,26 +709,109 @@
             call_id: The call.
             now_ms: Current time, milliseconds.
             excluded: Endpoints that the call has already been sent to.
+            need: What the place of the call depends on.
         """
         endpoint = self.endpoint_by_id.get(name)
         started = endpoint.in_flight_by_call_id.pop(call_id, None) if endpoint is not None else None
         if started is None:
             return None
-        endpoint.gate.give_back(started.at_ms, is_rate_limited=started.is_rate_limited)
-        best = self.choose(now_ms, idempotent=False, excluded=excluded | {name})
-        if best is not None and self.cost(best, now_ms) < self.cost(endpoint, now_ms):
+        self._give_back(endpoint, started)
+        best = self.choose(now_ms, idempotent=False, excluded=excluded | {name}, need=need)
+        if best is not None and self.cost(best, now_ms, need) < self.cost(endpoint, now_ms, need):
             self.start(best, call_id, started.partner, now_ms)
+            self._end_trial_unsent(endpoint, now_ms)
             return best
         self.start(endpoint, call_id, started.partner, now_ms)
         return None
 
-    def slot_limit(self, endpoint: Endpoint) -> int:
-        """Return how many calls this entry may have in flight at an endpoint with free room."""
-        return self._slot_limit.limit(endpoint.gate.limit)
+    def is_full(self, endpoint: Endpoint, need: CallNeed, now_ms: float) -> bool:
+        """Return whether the calls of other entries leave no slot for a call at an endpoint."""
+        spare = 0 if need.may_run_twice else self._spare_slots(now_ms)
+        return self._is_full(endpoint, now_ms, spare=spare)
+
+    def slot_limit(self, endpoint: Endpoint) -> float:
+        """Return how many calls this entry may have in flight at an endpoint."""
+        gate = endpoint.gate
+        return min(self._slot_limit.limit(gate.limit), gate.most_in_flight)
+
+    def cost(self, endpoint: Endpoint, now_ms: float, need: CallNeed) -> float:
+        """Return the expected cost of a call at an endpoint, with that of the distance."""
+        cost = endpoint.cost(self._typical_slowdown, now_ms)
+        return self.placement.weigh(cost, need, endpoint.address.distance_ms)
+
+    def is_evacuated(self, endpoint: Endpoint) -> bool:
+        """Return whether the endpoint's zone is evacuated, so that it gets no calls."""
+        return endpoint.address.availability_zone in self._evacuated
 
-    def cost(self, endpoint: Endpoint, now_ms: float) -> float:
-        """Return the expected cost of a call at an endpoint."""
-        return endpoint.cost(self._typical_slowdown, now_ms)
+    def _give_back(self, endpoint: Endpoint, started: InFlightCall) -> None:
+        endpoint.gate.give_back(
+            started.at_ms, is_rate_limited=started.is_rate_limited, is_cold=started.is_cold
+        )
+
+    def _cold_rate_per_s(self, endpoint: Endpoint) -> float:
+        zone = endpoint.address.availability_zone
+        return self._cold_share.rate_per_s(self._cold_per_s, zone)
+
+    def _extend_cold(self, endpoint: Endpoint, now_ms: float) -> None:
+        """Apply the cold time that the endpoint's listing tells."""
+        ends_ms = endpoint.address.cold_ends_ms
+        if endpoint.gate.cold is not None:
+            ends_ms = max(ends_ms, endpoint.gate.cold.ends_ms)
+        if ends_ms > now_ms:
+            self._set_cold(endpoint, ends_ms, now_ms)
+
+    def _set_cold(self, endpoint: Endpoint, ends_ms: float, now_ms: float) -> None:
+        if not self._cold_per_s:
+            return
+        endpoint.warm_up_ends_ms = ends_ms
+        if endpoint.gate.cold is not None:
+            endpoint.gate.cold.ends_ms = ends_ms
+            return
+        in_flight = endpoint.in_flight_by_call_id.values()
+        endpoint.gate.cold = ColdStart(
+            ends_ms,
+            self._cold_rate_per_s(endpoint),
+            self._cold_share.ends_ms,
+            unsent=sum(not started.is_sent for started in in_flight),
+            now_ms=now_ms,
+        )
+
+    def _end_cold(self, endpoint: Endpoint, now_ms: float) -> None:
+        if endpoint.gate.end_cold(now_ms):
+            # All entries learn it at about the same time: no probes that were saved up meanwhile.
+            endpoint.probe_tokens = 0.0
+            endpoint.probe_refilled_ms = now_ms
+
+    def _spare_slots(self, now_ms: float) -> int:
+        """Return the slots that a call that must not run twice leaves free at shared endpoints.
+
+        Entries learn of each other's calls only by reports, so two may send to the last slot at
+        once. That matters where endpoints lately reset or turned away calls when they were full.
+        """
+        return int(now_ms - self._lost_when_full_ms < FULL_LOSS_MEMORY_MS)
+
+    def _is_full(self, endpoint: Endpoint, now_ms: float, *, spare: int, counted: int = 0) -> bool:
+        """Return whether the calls of other entries leave no slot for one more call.
+
+        Args:
+            endpoint: The endpoint.
+            now_ms: Current time, milliseconds.
+            spare: Slots to leave free if other entries send to the endpoint.
+            counted: 1 if the call is counted at the endpoint already.
+        """
+        if not counted and now_ms < endpoint.gate.full_until_ms:
+            return True
+        if not counted and not spare and not endpoint.address.distance_ms:
+            # Short calls outpace the reports; only a probe right before the call is recent enough.
+            return False
+        others = endpoint.decayed_others_in_flight(now_ms)
+        taken = endpoint.in_flight + others - counted
+        most = self._slot_limit.limit(endpoint.address.slots)
+        if spare and (endpoint.others_in_flight or endpoint.address.distance_ms):
+            most = max(1, most - spare)
+        if endpoint.address.distance_ms:
+            return not self.placement.has_spare_slot(taken, most)
+        return others >= 1 - FULL_TOLERANCE_SLOTS and taken + 1 > most + FULL_TOLERANCE_SLOTS
 
     def _tie_break(self) -> float:
         return 1 + TIE_BREAK * self._rng.random()
@@ -542,7 +832,7 @@
         is_nearly_full = taken > endpoint.address.slots * NEARLY_FULL_SHARE
         # Skip the sample if the endpoint crossed the threshold while the call was running.
         if is_nearly_full == started.is_nearly_full:
-            self._slot_limit.learn(ratio, is_nearly_full=is_nearly_full)
+            self._learn_slot_limit(started.partner, took_ms, is_nearly_full=is_nearly_full)
         slowness = endpoint.decayed_slowness(now_ms)
         smoothed = slowness + SLOWNESS_EWMA_ALPHA * (ratio - slowness)
         endpoint.slowness = max(MIN_SLOWNESS, smoothed)
@@ -551,11 +841,29 @@
         name = endpoint.address.endpoint
         if endpoint.status is EndpointStatus.TRIAL:
             endpoint.ejections = 0
+            self._end_ejection(endpoint)
+            self._call_trial_from_ms = now_ms
             self.handle(name, EndpointEvent.SUCCEEDED, "trial succeeded", now_ms)
         elif endpoint.status is EndpointStatus.COLD and now_ms >= endpoint.warm_up_ends_ms:
             endpoint.ejections = 0
             self.handle(name, EndpointEvent.WARMED, "warmed up", now_ms)
 
+    def _learn_slot_limit(self, partner: str, took_ms: float, *, is_nearly_full: bool) -> None:
+        """Compare a call with calls that ran beside free slots.
+
+        Under a long overload, all calls are slow, and the typical latency no longer shows what the
+        last slots cost.
+        """
+        relaxed_ms = self._relaxed_latency_ms_by_partner.get(partner)
+        if relaxed_ms is None:
+            relaxed_ms = self.typical_latency_ms(partner)
+        self._slot_limit.learn(took_ms / relaxed_ms, is_nearly_full=is_nearly_full)
+        if not is_nearly_full:
+            self._relaxed_latency_ms_by_partner[partner] = max(
+                MIN_TYPICAL_LATENCY_MS,
+                relaxed_ms + PARTNER_LATENCY_EWMA_ALPHA * (took_ms - relaxed_ms),
+            )
+
     def _is_unexplained(self, endpoint: Endpoint, started: InFlightCall, now_ms: float) -> bool:
         """Return whether an unanswered call waited longer than its work can take.
 
@@ -570,12 +878,45 @@
         failed_trial = endpoint.status is EndpointStatus.TRIAL
         if not failed_trial and not self._may_eject(endpoint):
             return
-        duration_ms = min(BASE_EJECTION_MS * 2**endpoint.ejections, MAX_EJECTION_MS)
-        endpoint.ejections += 1
+        duration_ms = BASE_EJECTION_MS
+        if result not in NOT_RUN_RESULTS:
+            # Such a trial may have cost the caller its call, so it is repeated less and less often.
+            duration_ms = min(BASE_EJECTION_MS * 2**endpoint.ejections, MAX_EJECTION_MS)
+            endpoint.ejections += 1
+        elif failed_trial:
+            endpoint.is_unreachable = True
+        if failed_trial:
+            self._call_trial_from_ms = now_ms + CALL_TRIAL_INTERVAL_MS
         endpoint.ejected_until_ms = now_ms + duration_ms
+        endpoint.probe_due_ms = now_ms + BASE_EJECTION_MS + CALL_TRIAL_HEAD_START_MS
         reason = f"{endpoint.consecutive_failures} failures, last {result.value}"
         self.handle(endpoint.address.endpoint, EndpointEvent.FAILING, reason, now_ms)
 
+    def _keep_ejected(self, endpoint: Endpoint, reason: str, now_ms: float) -> None:
+        """Eject an endpoint that a probe found unusable, and leave its next trials to probes."""
+        endpoint.is_unreachable = True
+        endpoint.ejected_until_ms = max(endpoint.ejected_until_ms, now_ms + 2 * BASE_EJECTION_MS)
+        self.handle(endpoint.address.endpoint, EndpointEvent.FAILING, reason, now_ms)
+
+    def _end_trial_unsent(self, endpoint: Endpoint, now_ms: float) -> None:
+        """End a trial whose call went elsewhere, which would leave the endpoint out for good."""
+        if endpoint.status is not EndpointStatus.TRIAL:
+            return
+        endpoint.probe_due_ms = now_ms + BASE_EJECTION_MS
+        if now_ms == endpoint.probe_failed_ms:
+            self._keep_ejected(endpoint, "probe before the trial failed", now_ms)
+        else:
+            endpoint.ejected_until_ms = max(endpoint.ejected_until_ms, now_ms + BASE_EJECTION_MS)
+            name = endpoint.address.endpoint
+            self.handle(name, EndpointEvent.FAILING, "trial went elsewhere", now_ms)
+
+    def _end_ejection(self, endpoint: Endpoint) -> None:
+        """Forget what its being unreachable explains."""
+        if endpoint.is_unreachable:
+            endpoint.is_unreachable = False
+            endpoint.ejections = 0
+            endpoint.gate.room = math.inf
+
     def _may_eject(self, endpoint: Endpoint) -> bool:
         if endpoint.status not in SERVING:
             return False
@@ -584,16 +925,28 @@
         return len(self._ejected) + 1 <= len(self.endpoint_by_id) * MAX_EJECTED_SHARE
 
     def _due_trial(self, now_ms: float, excluded: frozenset[str]) -> Endpoint | None:
-        for name in self._ejected:
-            endpoint = self.endpoint_by_id[name]
-            if name not in excluded and self._is_trial_due(endpoint, now_ms):
-                self.handle(name, EndpointEvent.TRIAL, "trial due", now_ms)
-                return endpoint
-        return None
+        if now_ms < self._call_trial_from_ms:
+            return None
+        due = [
+            endpoint
+            for name in self._ejected - excluded
+            if self._is_trial_due(endpoint := self.endpoint_by_id[name], now_ms)
+        ]
+        if not due:
+            return None
+        endpoint = min(due, key=lambda item: (item.ejected_until_ms, item.address.endpoint))
+        self.handle(endpoint.address.endpoint, EndpointEvent.TRIAL, "trial due", now_ms)
+        return endpoint
 
     def _is_trial_due(self, endpoint: Endpoint, now_ms: float) -> bool:
         is_ejected = endpoint.status is EndpointStatus.EJECTED
-        if not is_ejected or now_ms < endpoint.ejected_until_ms:
+        if not is_ejected or now_ms < endpoint.ejected_until_ms or self.is_evacuated(endpoint):
+            return False
+        return endpoint.gate.opens_in_ms(now_ms) == 0
+
+    def _is_probe_trial_due(self, endpoint: Endpoint, now_ms: float) -> bool:
+        is_ejected = endpoint.status is EndpointStatus.EJECTED
+        if not is_ejected or now_ms < endpoint.probe_due_ms or self.is_evacuated(endpoint):
             return False
         return endpoint.gate.opens_in_ms(now_ms) == 0
 
@@ -602,19 +955,23 @@
         return now_ms + NOTICE_LIFETIME_MS * (1 + self._rng.random())
 
     def _keep_gate(self, endpoint: Endpoint) -> None:
-        """Keep the limit and closure of an endpoint whose registration may come back."""
+        """Keep the limits and closure of an endpoint whose registration may come back."""
         gate = endpoint.gate
-        if gate.rate_limit is None and gate.closure is None:
+        if gate.rate_limit is None and gate.closure is None and gate.cold is None:
             return
         kept = self._delisted_gates
         kept[endpoint.address.endpoint, endpoint.address.incarnation] = EndpointGate(
-            rate_limit=gate.rate_limit, closure=gate.closure
+            rate_limit=gate.rate_limit, closure=gate.closure, cold=gate.cold
         )
         if len(kept) > MAX_DELISTED_GATES:
             del kept[next(iter(kept))]
 
     def _index(self) -> None:
-        self._serving = [item for item in self.endpoint_by_id.values() if item.is_serving]
+        self._serving = [
+            item
+            for item in self.endpoint_by_id.values()
+            if item.is_serving and not self.is_evacuated(item)
+        ]
         for endpoint in self._serving:
             endpoint.gate.limit = self._share.slots(endpoint.address)
             endpoint.tie_break = self._tie_break()
--- a/packages/cassiahaven-core/cassiahaven_core/service.py
+++ b/packages/cassiahaven-core/cassiahaven_core/service.py
@@ -5,13 +5,24 @@
 from typing import TypeAlias
 
 from cassiahaven_core.admission import Admission, WaitingCall
-from cassiahaven_core.endpoint import CallResult, Endpoint, LoadReport, ProbeFailed
+from cassiahaven_core.endpoint import (
+    NOT_RUN_RESULTS,
+    CallResult,
+    Endpoint,
+    LoadReport,
+    ProbeFailed,
+)
 from cassiahaven_core.endpoint_address import EndpointAddress
-from cassiahaven_core.load_shedding import MIN_LATENCY_SHARE, unservable_calls
+from cassiahaven_core.load_shedding import (
+    MIN_LATENCY_SHARE,
+    ReturnSchedule,
+    unservable_calls,
+)
 from cassiahaven_core.pool import Pool
 from cassiahaven_core.rate_limit import MS_PER_S, UNLIMITED
 from cassiahaven_core.reason import RefusalReason, RetryReason
 from cassiahaven_core.retry import RetryBudget
+from cassiahaven_core.zone_placement import CallNeed, ZoneReason
 
 RETRY_REASON_BY_RESULT: dict[CallResult, RetryReason] = {
     CallResult.CONNECT_FAILED: RetryReason.CONNECT_FAILED,
@@ -21,17 +32,22 @@
     CallResult.SERVER_ERROR: RetryReason.SERVER_ERROR,
     CallResult.UNANSWERED: RetryReason.UNANSWERED,
 }
+MOST_HELD_CALLS = 8  # bounds the time of one decision; the next slot is at most some calls away
 MAX_RETRY_AFTER_MS = 5000.0  # limits change within seconds, and callers may find another entry
-NOT_RUN_RESULTS = frozenset({CallResult.CONNECT_FAILED, CallResult.REFUSED, CallResult.REPLACED})
 
 
 @dataclass(frozen=True, slots=True)
 class Dispatch:
-    """Effect: the caller's task sends the call to an endpoint."""
+    """Effect: the caller's task sends the call to an endpoint.
+
+    Attributes:
+        left_zone: Why the endpoint is in another zone, ``None`` if it is not.
+    """
 
     call_id: str
     address: EndpointAddress
     waited_ms: float
+    left_zone: ZoneReason | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -64,6 +80,7 @@
         "retry_budget",
         "probes_per_s",
         "_promised_ms",
+        "_returns",
     )
 
     def __init__(self, service: str, pool: Pool, admission: Admission) -> None:
@@ -73,6 +90,7 @@
         self.retry_budget = RetryBudget()
         self.probes_per_s = 0.0
         self._promised_ms = 0.0
+        self._returns = ReturnSchedule()
 
     def submit(self, call: WaitingCall, now_ms: float) -> list[Effect]:
         """Admit or refuse a new call.
@@ -82,9 +100,11 @@
         """
         if call.deadline_ms <= now_ms:
             return [Refuse(call.call_id, RefusalReason.DEADLINE_EXCEEDED)]
-        call = replace(
-            call, start_by_ms=call.target_at_ms - self.pool.typical_latency_ms(call.latency_class)
-        )
+        latency_ms = self.pool.typical_latency_ms(call.latency_class)
+        # One that came back when told waits until its deadline rather than be refused once more.
+        has_returned = bool(call.return_key) and self._returns.redeem(call, now_ms)
+        in_time_ms = call.deadline_ms if has_returned else call.target_at_ms
+        call = replace(call, start_by_ms=in_time_ms - latency_ms, has_returned=has_returned)
         if not self._may_serve(call, now_ms):
             return [Refuse(call.call_id, RefusalReason.NO_UPSTREAM)]
         opens_in_ms = self._opens_in_ms(call, now_ms)
@@ -94,6 +114,8 @@
             # Late calls queue behind calls that can still be on time, so under overload this one
             # would only wait for its deadline. Refuse it now so that the caller can retry later.
             starts_ms = now_ms + opens_in_ms + self._expected_wait_ms(call, now_ms)
+            if not has_returned:
+                starts_ms += self._returning_work_ms(call, starts_ms, now_ms)
             if starts_ms > min(call.start_by_ms, call.deadline_ms):
                 return [Refuse(call.call_id, self._wait_reason())]
         reason = self.admission.admit(call, now_ms)
@@ -136,10 +158,12 @@
             self.pool.record_probe_failure(endpoint, now_ms)
         else:
             self.pool.report_load(endpoint, report, now_ms)
-        better = self.pool.move(endpoint, call.call_id, now_ms, excluded=tried)
+        need = self.need(call, now_ms, may_wait=False)
+        better = self.pool.move(endpoint, call.call_id, now_ms, excluded=tried, need=need)
         if better is None:
             return None
-        return Dispatch(call.call_id, better.address, now_ms - call.arrived_ms)
+        waited_ms = now_ms - call.arrived_ms
+        return Dispatch(call.call_id, better.address, waited_ms, self.pool.take_left_zone())
 
     def place_again(
         self, call: WaitingCall, endpoint: str, tried: frozenset[str], now_ms: float
@@ -228,12 +252,25 @@
     def advance(self, now_ms: float) -> list[Effect]:
         """Dispatch waiting calls while endpoints have free slots."""
         effects: list[Effect] = []
+        held: list[WaitingCall] = []
         while (call := self.admission.next(now_ms)) is not None:
             if call.deadline_ms <= now_ms:
                 self.admission.withdraw(call)
                 effects.append(Refuse(call.call_id, RefusalReason.DEADLINE_EXCEEDED))
                 continue
-            endpoint = self.pool.choose(now_ms, idempotent=call.idempotent, excluded=call.tried)
+            endpoint = self.pool.choose(
+                now_ms,
+                idempotent=call.idempotent,
+                excluded=call.tried,
+                need=self.need(call, now_ms, may_wait=not call.tried),
+            )
+            if endpoint is None and self.pool.is_held_at_home:
+                # It waits for a slot of its zone, and calls behind it may run in another one.
+                if len(held) == MOST_HELD_CALLS:
+                    break
+                self.admission.withdraw(call)
+                held.append(call)
+                continue
             if endpoint is None:
                 if self.pool.closed_for_ms(now_ms, call.tried):
                     self.admission.withdraw(call)
@@ -251,7 +288,10 @@
                 continue
             self._start(call, endpoint, now_ms)
             waited_ms = now_ms - call.arrived_ms
-            effects.append(Dispatch(call.call_id, endpoint.address, waited_ms))
+            left_zone = self.pool.take_left_zone()
+            effects.append(Dispatch(call.call_id, endpoint.address, waited_ms, left_zone))
+        for call in reversed(held):
+            self.admission.requeue(call)
         return effects
 
     def tick(self, now_ms: float) -> list[Effect]:
@@ -272,6 +312,22 @@
                 effects.extend(self._refuse_all(RefusalReason.UPSTREAM_CLOSED))
         return effects
 
+    def need(self, call: WaitingCall, now_ms: float, *, may_wait: bool) -> CallNeed:
+        """Return what the place of a call depends on.
+
+        Args:
+            call: The call.
+            now_ms: Current time, milliseconds.
+            may_wait: Whether it may wait for a slot of its own zone.
+        """
+        return CallNeed(
+            self.pool.typical_latency_ms(call.latency_class),
+            max(0.0, call.target_at_ms - now_ms),
+            call.body_bytes,
+            now_ms - call.arrived_ms if may_wait else math.inf,
+            call.idempotent,
+        )
+
     def _start(self, call: WaitingCall, endpoint: Endpoint, now_ms: float) -> None:
         self.admission.start(call, self.pool.typical_latency_ms(call.latency_class))
         self.pool.start(endpoint, call.call_id, call.latency_class, now_ms)
@@ -294,7 +350,7 @@
         return self.pool.opens_in_ms(now_ms)
 
     def _expected_wait_ms(self, call: WaitingCall, now_ms: float) -> float:
-        slots = self.pool.usable_slots(self.pool.typical_latency_ms(call.latency_class), now_ms)
+        slots = self._slots(self.pool.typical_latency_ms(call.latency_class), now_ms)
         if not slots or call.partner not in self.admission.partner_by_name:
             return 0.0
         ahead = self.admission.expected_calls_ahead(call.partner, call.priority)
@@ -304,6 +360,18 @@
         """Return the expected time until a waiting call is sent, milliseconds."""
         return self._opens_in_ms(call, now_ms) + self._expected_wait_ms(call, now_ms)
 
+    def _slots(self, latency_ms: float, now_ms: float) -> float:
+        """Return how many calls of this entry run at a time."""
+        slots = self.pool.usable_slots(latency_ms, now_ms)
+        return min(slots, self.pool.busy_slots()) if self.admission.waiting else slots
+
+    def _returning_work_ms(self, call: WaitingCall, starts_ms: float, now_ms: float) -> float:
+        """Return the delay of a call by callers that were told to come back before it starts."""
+        latency_ms = self.pool.typical_latency_ms(call.latency_class)
+        slots = self._slots(latency_ms, now_ms)
+        returning = self._returns.due_before(starts_ms, call.priority, now_ms)
+        return returning * latency_ms / slots if slots else 0.0
+
     def retry_after_ms(self, call: WaitingCall, now_ms: float) -> float:
         """Return the delay after which to retry a refused call, milliseconds."""
         closed_for_ms = self.pool.closed_for_ms(now_ms)
@@ -312,8 +380,19 @@
             return math.ceil(closed_for_ms)
         wait_ms = self._expected_wait_ms(call, now_ms)
         rate_per_s = self.pool.serving_rate_per_s()
+        if not rate_per_s and self.pool.has_serving_endpoint():
+            # All endpoints are cold, and this entry has no share of what they bear.
+            return min(self.pool.opens_in_ms(now_ms), MAX_RETRY_AFTER_MS)
         if not 0 < rate_per_s < UNLIMITED:
-            return wait_ms + self.pool.typical_latency_ms(call.latency_class) / 2
+            latency_ms = self.pool.typical_latency_ms(call.latency_class)
+            slots = self._slots(latency_ms, now_ms)
+            due_ms = self._returns.promise(
+                call,
+                soonest_ms=now_ms + wait_ms + latency_ms / 2,
+                spacing_ms=latency_ms / slots if slots else 0.0,
+                now_ms=now_ms,
+            )
+            return due_ms - now_ms
         # Each refused caller is sent back for another call that the rate limits will let through.
         opens_ms = now_ms + self.pool.opens_in_ms(now_ms)
         soonest_ms = max(opens_ms + wait_ms, self._promised_ms + MS_PER_S / rate_per_s)
@@ -328,7 +407,7 @@
         return unservable_calls(
             calls,
             self.pool.typical_latency_ms,
-            slots=self.pool.usable_slots(sum(latencies_ms) / len(latencies_ms), now_ms),
+            slots=self._slots(sum(latencies_ms) / len(latencies_ms), now_ms),
             now_ms=now_ms,
             opens_in_ms=min(self.pool.opens_in_ms(now_ms), MAX_RETRY_AFTER_MS),
         )
--- a/packages/cassiahaven-entry/cassiahaven_entry/attempts.py
+++ b/packages/cassiahaven-entry/cassiahaven_entry/attempts.py
@@ -24,7 +24,7 @@
 from cassiahaven_core.peer_message import CrashNotice, DrainNotice, RateLimitNotice
 from cassiahaven_core.quarantine import Quarantine
 from cassiahaven_core.reason import RefusalReason, UnknownReason
-from cassiahaven_core.service import Effect, Refuse
+from cassiahaven_core.service import Dispatch, Effect, Refuse
 from cassiahaven_entry.call import AnswerStream, Call, Finished
 from cassiahaven_entry.clock import now_ms
 from cassiahaven_entry.event import LogEvent, log
@@ -104,8 +104,20 @@
         self._on_rate_limit = on_rate_limit
         self._memory = AnswerMemory()
 
-    def run(self, call: Call, task: ServiceTask) -> Finished:
-        """Run ``call``, with retries, and return its result."""
+    def run(
+        self,
+        call: Call,
+        task: ServiceTask,
+        *,
+        check: Callable[[Call], RefusalReason | None] = lambda call: None,
+    ) -> Finished:
+        """Run ``call``, with retries, and return its result.
+
+        Args:
+            call: The call.
+            task: Policy of the call's service.
+            check: Called right before each attempt; returns why the call must not be sent.
+        """
         if self._quarantine.is_quarantined(call.fingerprint, now_ms()):
             return Finished(NotRun(RefusalReason.QUARANTINED))
         effect: Effect | None = task.submit(call.waiting)
@@ -116,13 +128,19 @@
                 return progress.finished(effect.reason)
             if effect.waited_ms >= NOTABLE_WAIT_MS:
                 call.note("waited", f"{effect.waited_ms:.1f} ms for a free slot")
-            address = self._choose_endpoint(call, task, effect.address, frozenset(tried))
-            if not task.policy.pool.may_send(address, now_ms()):
-                # It was delisted, closed itself or said that it leaves since the call was assigned.
-                call.note("placed again", f"{address.endpoint} takes no more calls")
+            effect = self._choose_endpoint(call, task, effect, frozenset(tried))
+            address = effect.address
+            unfit = self._unfit(call, task, address)
+            if unfit is not None:
+                call.note("placed again", f"{address.endpoint} {unfit}")
                 self._metrics.placed_again.labels(call.service).inc()
                 effect = task.place_again(call.waiting, address.endpoint, frozenset(tried))
                 continue
+            refusal = check(call)
+            if refusal is not None:
+                task.finish(call.waiting, address.endpoint, CallResult.CANCELLED)
+                return progress.finished(refusal)
+            self._note_zone(call, effect)
             tried.add(address.endpoint)
             ended = self._attempt(call, task, address, frozenset(tried))
             result = self._record_result(progress, ended)
@@ -147,10 +165,11 @@
         self,
         call: Call,
         task: ServiceTask,
-        address: EndpointAddress,
+        chosen: Dispatch,
         tried: frozenset[str],
-    ) -> EndpointAddress:
+    ) -> Dispatch:
         """Probe the selected endpoint; while probes find it slow or failing, try another one."""
+        address = chosen.address
         # A service whose row of the configuration was rejected has no health path.
         for _ in range(MOST_PROBES_PER_ATTEMPT if task.health_path else 0):
             if not task.policy.try_spend_probe(address.endpoint, now_ms()):
@@ -166,8 +185,27 @@
             if better is None:
                 break
             call.note("passed over", f"{address.endpoint} {_slowness_text(report)}")
-            address = better.address
-        return address
+            chosen, address = better, better.address
+        return chosen
+
+    def _unfit(self, call: Call, task: ServiceTask, address: EndpointAddress) -> str | None:
+        """Return why a call must not be sent to the endpoint that it is assigned to, if so."""
+        pool = task.policy.pool
+        if not pool.may_send(address, now_ms()):
+            # It was delisted, closed itself or said that it leaves since the call was assigned.
+            return "takes no more calls"
+        is_full = pool.was_found_full(
+            address.endpoint, call.call_id, now_ms(), idempotent=call.waiting.idempotent
+        )
+        return "is filled by other entries" if is_full else None
+
+    def _note_zone(self, call: Call, effect: Dispatch) -> None:
+        """Log and count a call that leaves the zone of this entry."""
+        if effect.left_zone is not None:
+            reason = effect.left_zone.value
+            call.note("left zone", f"{reason}, to {effect.address.availability_zone}")
+            self._metrics.calls_leaving_zone.labels(call.service, reason).inc()
+            self._metrics.bytes_leaving_zone.labels(call.service).inc(call.waiting.body_bytes)
 
     def _attempt(
         self, call: Call, task: ServiceTask, address: EndpointAddress, tried: frozenset[str]
@@ -176,6 +214,8 @@
         task.policy.pool.mark_sent(address.endpoint, call.call_id)
         if task.policy.pool.is_rate_limited(address.endpoint):
             self._metrics.calls_to_rate_limited.labels(call.service).inc()
+        if task.policy.pool.is_cold(address.endpoint):
+            self._metrics.calls_to_cold.labels(call.service, "call").inc()
         ended: Finished | SendFailed | None = None
         try:
             patience_ms = task.policy.answer_patience_ms(
@@ -199,10 +239,13 @@
         added = self._dialect.request_headers(
             call.request, call.call_id, call.partner, address.endpoint, left_ms
         )
+        headers = call.request.headers
+        if call.account is not None:
+            headers = self._dialect.account_headers(headers, call.account.name)
         request = UpstreamRequest(
             call.request.method,
             call.request.target,
-            (*call.request.headers, *added),
+            (*headers, *added),
             call.request.body,
             call.waiting.idempotent,
             call.request.request_id,
@@ -294,6 +337,7 @@
             self._apply_closure(
                 task, address, signal.closed_for_ms, signal.unreadable_closure, call.call_id
             )
+            task.record_cold(address, signal.cold_ms)
 
     def apply_probe(
         self, task: ServiceTask, address: EndpointAddress, report: LoadReport | ProbeFailed
@@ -301,6 +345,7 @@
         """Apply what an endpoint said of itself in its answer to a probe."""
         if report.is_leaving:
             self._record_leaving(task, address, HEALTH_CHECK)
+        task.record_cold(address, report.cold_ms)
         if isinstance(report, ProbeFailed):
             self._apply_closure(task, address, report.closed_for_ms, report.unreadable_closure)
 
--- a/packages/cassiahaven-entry/cassiahaven_entry/call.py
+++ b/packages/cassiahaven-entry/cassiahaven_entry/call.py
@@ -4,6 +4,7 @@
 from collections.abc import Callable, Iterator
 from dataclasses import dataclass, replace
 
+from cassiahaven_core.account import ClientAccount
 from cassiahaven_core.admission import WaitingCall
 from cassiahaven_core.answer import Answer
 from cassiahaven_core.answer_record import AnswerRecord
@@ -17,17 +18,29 @@
 
 
 class Call:
-    """State of one call while it runs."""
+    """State of one call while it runs.
 
-    __slots__ = ("request", "service", "waiting", "fingerprint", "explanation")
+    Attributes:
+        account: Client account of the call, ``None`` if calls belong to no accounts.
+    """
 
-    def __init__(self, request: CallRequest, service: str, waiting: WaitingCall) -> None:
+    __slots__ = ("request", "service", "waiting", "account", "fingerprint", "explanation")
+
+    def __init__(
+        self,
+        request: CallRequest,
+        service: str,
+        waiting: WaitingCall,
+        *,
+        account: ClientAccount | None = None,
+    ) -> None:
         self.request = request
         self.service = service
-        self.waiting = waiting
+        self.account = account
         self.fingerprint = request_fingerprint(
             service, waiting.partner, request.method, request.target, request.body
         )
+        self.waiting = replace(waiting, return_key=self.fingerprint)
         self.explanation = Explanation(
             waiting.call_id, service, waiting.partner, request.method, request.target, time.time()
         )
@@ -53,6 +66,11 @@
         """Return the partner that sent the call."""
         return self.waiting.partner
 
+    @property
+    def is_of_account(self) -> bool:
+        """Return whether the call belongs to a client account."""
+        return self.account is not None and bool(self.account.name)
+
     def drop_body(self) -> None:
         """Drop the request's body, which no further attempt needs."""
         self.request = replace(self.request, body=b"")
--- a/packages/cassiahaven-entry/cassiahaven_entry/call_placement.py
+++ b/packages/cassiahaven-entry/cassiahaven_entry/call_placement.py
@@ -74,7 +74,7 @@
         return plain | self._forecast(route, service)
 
     def _forecast(self, route: Route, service: str) -> dict[str, Any]:
-        call = self._node.calls.sample(self._request(), route)
+        call = self._node.calls.sample(self._request(), route, self._account)
         found = asdict(self._node.task(service).forecast(call))
         return _finite(found | {"verdict": found["verdict"].value})
 
--- a/packages/cassiahaven-entry/cassiahaven_entry/fleet_links.py
+++ b/packages/cassiahaven-entry/cassiahaven_entry/fleet_links.py
@@ -1,24 +1,32 @@
 """Peer links within a fleet: each entry subscribes to a few entries that watch the store."""
 
-from collections.abc import Callable
-from dataclasses import replace
+from collections.abc import Callable, Collection, Mapping
 
 import eventlet
 
+from cassiahaven_core.edge import Topic
 from cassiahaven_core.membership import REPORT_TIMEOUT_MS, Fleet, Member
 from cassiahaven_core.peer_message import (
     CrashNotice,
     Encoded,
+    MemberPulse,
     MemberReport,
     PeerMessage,
     RateLimitNotice,
     RateLimitNotices,
+    ReportRequest,
     StateNews,
     StateRequest,
+    UsageClaims,
+    UsageJoined,
+    UsageNews,
     WatcherPulse,
     WatcherReport,
+    WatcherReportChange,
     encode_once,
 )
+from cassiahaven_core.store_version import StoreVersion
+from cassiahaven_core.watcher_report import ReportMessage, ReportPublisher, ReportReplica
 from cassiahaven_entry.clock import MS_PER_S, now_ms
 from cassiahaven_entry.event import LogEvent, log
 from cassiahaven_entry.metrics import Metrics
@@ -26,14 +34,18 @@
 from cassiahaven_entry.peer_handler import PeerSubscribers
 from cassiahaven_entry.peer_server import PeerServer
 from cassiahaven_entry.supervisor import spawn_supervised
+from cassiahaven_entry.usage_exchange import UsageExchange
 
 REPORT_INTERVAL_MS = 500.0
 UNREACHABLE_MS = 3000.0  # an entry restarts within this time
 COALESCE_MS = 100.0  # coalesces bursts of changes; 1/20 of the time a change may take to spread
 REQUEST_TIMEOUT_MS = 400.0
+AHEAD_MS = 1000.0  # a watcher that reads the store is no further behind than this
 START_INTERVAL_MS = 10.0  # until the members are known, so that a start takes no longer
 NEAR_WATCHER_HEAD_START_MS = 250.0  # half the report interval; traffic between zones is billed
 MAX_ENCODED_REPLIES = 16
+# Operators are shown which entries have these in force.
+REPORTED_TOPICS = (Topic.CONFIGURATION.value, Topic.TABLES.value)
 CLUSTER = "fleet"
 
 
@@ -43,26 +55,33 @@
     Args:
         report: Returns the report for subscribers.
         versions: Returns the local version of each topic, by topic name.
+        state_request: Returns the request for the newest state of a topic.
         state_update: Returns the reply to a state request.
         on_state_update: Called with a state update and the name of the watcher that sent it.
         on_crash: Called with each notice of a request that crashed an endpoint.
         on_rate_limit: Called with each notice of another rate limit of an endpoint.
+
+    Attributes:
+        usage: Exchange of claims on usage caps, ``None`` if the deployment has no such caps.
     """
 
     __slots__ = (
         "report",
         "versions",
+        "state_request",
         "state_update",
         "on_state_update",
         "on_crash",
         "on_rate_limit",
+        "usage",
     )
 
     def __init__(
         self,
         *,
         report: Callable[[], WatcherReport],
-        versions: Callable[[], dict[str, int]],
+        versions: Callable[[], dict[str, StoreVersion]],
+        state_request: Callable[[str], StateRequest],
         state_update: Callable[[StateRequest], StateNews],
         on_state_update: Callable[[StateNews, str], None],
         on_crash: Callable[[CrashNotice], None],
@@ -70,10 +89,12 @@
     ) -> None:
         self.report = report
         self.versions = versions
+        self.state_request = state_request
         self.state_update = state_update
         self.on_state_update = on_state_update
         self.on_crash = on_crash
         self.on_rate_limit = on_rate_limit
+        self.usage: UsageExchange | None = None
 
 
 class StateRequestPacer:
@@ -122,28 +143,43 @@
         state: LinkCallbacks,
         request_pacer: StateRequestPacer,
         has_near_link: Callable[[], bool],
+        metrics: Metrics | None = None,
     ) -> None:
-        super().__init__(member.name, f"ws://{member.peers}", cluster=CLUSTER, key=key)
+        super().__init__(
+            member.name, f"ws://{member.peers}", cluster=CLUSTER, key=key, metrics=metrics
+        )
         self.failed_ms = float("-inf")
         self.is_near = member.availability_zone == fleet.own.availability_zone
         self._fleet = fleet
         self._state = state
         self._request_pacer = request_pacer
         self._has_near_link = has_near_link
-        self._version_by_topic: dict[str, int] = {}
-        self._reported_versions: dict[str, int] = {}
+        self._replica = ReportReplica()
+        self._report_requested_ms = float("-inf")
+        self._ahead_by_topic: dict[str, tuple[StoreVersion, float]] = {}
+        self._reported: tuple[bool, dict[str, StoreVersion]] | None = None
 
     @property
     def is_connected(self) -> bool:
         """Return whether the link is connected."""
         return self._connection is not None
 
+    @property
+    def has_failed(self) -> bool:
+        """Return whether the link was lost or could not be opened."""
+        return self.failed_ms > float("-inf")
+
     def report(self, is_draining: bool) -> None:
-        """Send a liveness report to the watcher, with topic versions if they changed."""
+        """Tell the watcher what changed since the last report, or that this entry is alive."""
         versions = self._state.versions()
-        changed_versions = {} if versions == self._reported_versions else versions
-        if self.send(MemberReport(self._fleet.own.name, is_draining, changed_versions)):
-            self._reported_versions = versions
+        versions = {topic: versions[topic] for topic in REPORTED_TOPICS if topic in versions}
+        if (is_draining, versions) == self._reported:
+            self.send(MemberPulse())
+            return
+        known = {} if self._reported is None else self._reported[1]
+        changed = {topic: item for topic, item in versions.items() if item != known.get(topic)}
+        if self.send(MemberReport(self._fleet.own.name, is_draining, changed)):
+            self._reported = (is_draining, versions)
 
     def drop_if_silent(self) -> None:
         """Drop the connection if the watcher has been silent for too long."""
@@ -162,23 +198,27 @@
         self.failed_ms = now_ms()
 
     def _on_connected(self) -> None:
-        self._version_by_topic = {}
-        self._reported_versions = {}
+        self._replica.reset()
+        self._report_requested_ms = float("-inf")
+        self._reported = None
         self.report(self._fleet.own.name in self._fleet.draining)
+        if self._state.usage is not None:
+            self._state.usage.report_all()
 
     def _on_disconnected(self) -> None:
         self.failed_ms = now_ms()
         self._fleet.discard_watcher_report(self.name)
 
     def _receive(self, message: PeerMessage) -> None:
+        usage = self._state.usage
+        if usage is not None:
+            usage.note_watcher()
         match message:
-            case WatcherReport():
-                self._apply_update(message)
-            case WatcherPulse(store_age_ms=store_age_ms):
-                self._fleet.record_watcher_heartbeat(
-                    self.name, store_age_ms=store_age_ms, now_ms=now_ms()
-                )
-                self._request_outdated_topics()
+            case WatcherReport() | WatcherReportChange() | WatcherPulse():
+                self._apply_report(message)
+            case UsageClaims() | UsageJoined() | UsageNews():
+                if usage is not None:
+                    usage.receive_from_watcher(message)
             case StateNews(topic=topic):
                 self._request_pacer.mark_answered(topic)
                 self._state.on_state_update(message, self.name)
@@ -188,25 +228,55 @@
                 for notice in notices:
                     self._state.on_rate_limit(notice)
 
-    def _apply_update(self, report: WatcherReport) -> None:
-        self._fleet.record_watcher_report(
-            self.name,
-            live=report.live,
-            draining=report.draining,
-            store_age_ms=report.store_age_ms,
-            now_ms=now_ms(),
-        )
-        self._version_by_topic = report.version_by_topic
+    def _apply_report(self, message: ReportMessage) -> None:
+        before = self._replica.report
+        is_full_needed = self._replica.apply(message)
+        report = self._replica.report
+        if report is not before:
+            self._fleet.record_watcher_report(
+                self.name,
+                live=report.live,
+                draining=report.draining,
+                store_age_ms=report.store_age_ms,
+                now_ms=now_ms(),
+                starting=report.starting,
+            )
+        else:
+            self._fleet.record_watcher_heartbeat(
+                self.name, store_age_ms=message.store_age_ms, now_ms=now_ms()
+            )
+        if is_full_needed and now_ms() - self._report_requested_ms > REQUEST_TIMEOUT_MS:
+            self._report_requested_ms = now_ms()
+            self.send(ReportRequest())
         self._request_outdated_topics()
 
     def _request_outdated_topics(self) -> None:
+        if self._replica.report is None:
+            return
         own = self._state.versions()
         prefers_another = not self.is_near and self._has_near_link()
-        for topic, version in self._version_by_topic.items():
-            if version > own[topic] and self._request_pacer.is_due(
+        for topic, version in self._replica.report.version_by_topic.items():
+            if topic not in own:
+                continue  # this entry does not follow the topic
+            is_due = version > own[topic] and self._request_pacer.is_due(
                 topic, prefers_another=prefers_another, now_ms=now_ms()
-            ):
-                self.send(StateRequest(topic, own[topic]))
+            )
+            if is_due or self._is_check_due(topic, version, own[topic]):
+                self.send(self._state.state_request(topic))
+
+    def _is_check_due(self, topic: str, version: StoreVersion, own: StoreVersion) -> bool:
+        """Return whether to compare items once, as the watcher stays at an older version."""
+        if version >= own or topic == Topic.CONFIGURATION.value:
+            self._ahead_by_topic.pop(topic, None)
+            return False
+        known, since_ms = self._ahead_by_topic.get(topic, (None, 0.0))
+        if known != own:
+            self._ahead_by_topic[topic] = (own, now_ms())
+            return False
+        if now_ms() - since_ms < AHEAD_MS:
+            return False
+        self._ahead_by_topic[topic] = (own, float("inf"))
+        return True
 
 
 class FleetLinks(PeerSubscribers):
@@ -225,12 +295,13 @@
         self._state = state
         self._key = key
         self._name_by_connection: dict[str, str] = {}
-        self._published: WatcherReport | None = None
+        self._metrics = metrics
+        self._reports = ReportPublisher()
         self._published_ms = float("-inf")
         self._is_report_due = False
         self._waiting_notices: dict[tuple[str, str], RateLimitNotice] = {}
         self._request_pacer = StateRequestPacer()
-        self._encoded_replies: dict[tuple[str, int, int], Encoded] = {}
+        self._encoded_replies: dict[tuple[StateRequest, StoreVersion], Encoded] = {}
         host, _, port = fleet.own.peers.rpartition(":")
         self._server = PeerServer(
             host,
@@ -242,6 +313,11 @@
             ping_interval=None,
         )
 
+    @property
+    def name_by_connection(self) -> Mapping[str, str]:
+        """Return the names of the subscribers by connection."""
+        return self._name_by_connection
+
     @property
     def has_subscribers(self) -> bool:
         """Return whether any entry subscribes to this one."""
@@ -287,11 +363,13 @@
         if not self.has_subscribers:
             return
         self._published_ms = now_ms()
-        # An unchanged report is replaced by a short keepalive.
-        report = self._state.report()
-        is_unchanged = replace(report, store_age_ms=0.0) == self._published
-        self._published = replace(report, store_age_ms=0.0)
-        self._server.publish(WatcherPulse(report.store_age_ms) if is_unchanged else report)
+        self._server.publish(self._reports.advance(self._state.report()))
+
+    def report(self) -> None:
+        """Tell the watchers at once what changed at this entry."""
+        is_draining = self._fleet.own.name in self._fleet.draining
+        for link in self.link_by_name.values():
+            link.report(is_draining)
 
     def publish(self, message: PeerMessage) -> None:
         """Send ``message`` to all subscribers and watchers."""
@@ -299,6 +377,15 @@
         for link in self.link_by_name.values():
             link.send(message)
 
+    def send_to_watchers(self, message: PeerMessage) -> None:
+        """Send ``message`` to all watchers."""
+        for link in self.link_by_name.values():
+            link.send(message)
+
+    def send_to_subscribers(self, message: PeerMessage, connections: Collection[str]) -> None:
+        """Send ``message`` to the subscribers of some connections."""
+        self._server.send_to(message, connections)
+
     def publish_rate_limit(self, notice: RateLimitNotice) -> None:
         """Send a notice to all watchers, and to all subscribers together with others."""
         for link in self.link_by_name.values():
@@ -326,8 +413,11 @@
         self._server.drop()
 
     def greeting(self) -> list[PeerMessage]:
-        """Return the messages for a new subscriber."""
-        return [self._state.report()]
+        """Return the messages for a new subscriber.
+
+        The report is the last published one, since the next change applies to that.
+        """
+        return [self._full_report()]
 
     def receive(self, connection: str, message: PeerMessage) -> list[PeerMessage | Encoded]:
         """Handle a message of a subscriber and return the replies."""
@@ -335,12 +425,19 @@
             case MemberReport(name=name, is_draining=is_draining, version_by_topic=versions):
                 is_changed = connection not in self._name_by_connection
                 is_changed |= is_draining != (name in self._fleet.draining)
+                is_changed |= name in self._fleet.own_starting(now_ms())
                 self._name_by_connection[connection] = name
                 self._fleet.record_report(
                     name, is_draining=is_draining, now_ms=now_ms(), version_by_topic=versions
                 )
                 if is_changed:
                     self.publish_report()
+            case MemberPulse():
+                name = self._name_by_connection.get(connection)
+                if name is not None:
+                    self._fleet.record_heartbeat(name, now_ms())
+            case ReportRequest():
+                return [self._full_report()]
             case StateRequest():
                 return [self._encoded_reply(message)]
             case CrashNotice():
@@ -350,19 +447,30 @@
                 for notice in notices:
                     self._state.on_rate_limit(notice)
                     self._publish_later(notice)
+            case UsageClaims() if self._state.usage is not None:
+                return list(self._state.usage.receive(connection, message))
         return []
 
     def on_disconnected(self, connection: str) -> None:
         """Handle the end of a subscriber's connection."""
         name = self._name_by_connection.pop(connection, None)
+        if self._state.usage is not None:
+            self._state.usage.forget(connection)
         if name is not None and name not in self._name_by_connection.values():
             self._fleet.discard_report(name)
             log(LogEvent.PEER_LOST, peer=name)
             self.publish_report()
 
+    def _full_report(self) -> WatcherReport:
+        report = self._state.report()
+        if self._reports.published is None or not self.has_subscribers:
+            # Nothing is published without subscribers, so the last report may be old.
+            self._reports.advance(report)
+        return self._reports.full(report.store_age_ms)
+
     def _encoded_reply(self, request: StateRequest) -> Encoded:
         # All subscribers send the same request at about the same time: encode the reply once.
-        key = (request.topic, request.revision, self._state.versions()[request.topic])
+        key = (request, self._state.versions()[request.topic])
         encoded = self._encoded_replies.get(key)
         if encoded is None:
             if len(self._encoded_replies) >= MAX_ENCODED_REPLIES:
@@ -371,7 +479,12 @@
         return encoded
 
     def _has_near_link(self) -> bool:
-        return any(link.is_near and link.is_connected for link in self.link_by_name.values())
+        # A link that is being opened counts: at the start of many entries the first link to be
+        # open would often be one to another zone.
+        return any(
+            link.is_near and (link.is_connected or not link.has_failed)
+            for link in self.link_by_name.values()
+        )
 
     def _follow_watchers(self) -> None:
         failed = frozenset(
@@ -398,6 +511,7 @@
                     self._state,
                     self._request_pacer,
                     self._has_near_link,
+                    self._metrics,
                 )
                 self.link_by_name[name] = link
                 spawn_supervised(f"link to {name}", link.run)
--- a/packages/cassiahaven-entry/cassiahaven_entry/metrics.py
+++ b/packages/cassiahaven-entry/cassiahaven_entry/metrics.py
@@ -49,6 +49,28 @@
         yield family
 
 
+class PeerBytes:
+    """Count the bytes of each class of message in one direction.
+
+    The labelled counters are kept, as looking one up costs more than counting.
+    """
+
+    __slots__ = ("_counter", "_direction", "_counter_by_kind")
+
+    def __init__(self, counter: Counter, direction: str) -> None:
+        self._counter = counter
+        self._direction = direction
+        self._counter_by_kind: dict[str, Counter] = {}
+
+    def count(self, kind: str, size: int) -> None:
+        """Count a message of class ``kind``."""
+        counter = self._counter_by_kind.get(kind)
+        if counter is None:
+            counter = self._counter.labels(kind, self._direction)
+            self._counter_by_kind[kind] = counter
+        counter.inc(size)
+
+
 class Metrics:
     """All metrics of an entry process."""
 
@@ -79,7 +101,11 @@
             "operator_rejections", "Operator requests turned away", "reason"
         )
         self.store_calls = self._counter("store_calls", "Calls to the object store", "kind")
-        self.peer_bytes = self._counter("peer_bytes", "Bytes sent to peers", "message")
+        peer_bytes = self._counter(
+            "peer_bytes", "Bytes of messages between entries", "message", "direction"
+        )
+        self.peer_bytes_sent = PeerBytes(peer_bytes, "sent")
+        self.peer_bytes_received = PeerBytes(peer_bytes, "received")
         self.kept_endpoints = self._gauge(
             "kept_endpoints", "Endpoints in use though their registration is gone"
         )
@@ -101,6 +127,12 @@
         self.placed_again = self._counter(
             "placed_again", "Calls not sent, as their endpoint took no more calls", "service"
         )
+        self.calls_leaving_zone = self._counter(
+            "calls_leaving_zone", "Calls sent to another availability zone", "service", "reason"
+        )
+        self.bytes_leaving_zone = self._counter(
+            "bytes_leaving_zone", "Bytes of request bodies sent to another zone", "service"
+        )
         self.calls_to_rate_limited = self._counter(
             "calls_to_rate_limited", "Calls sent to endpoints that name a rate limit", "service"
         )
@@ -110,6 +142,28 @@
         self.rate_limited_endpoints = self._gauge(
             "rate_limited_endpoints", "Endpoints that name a rate limit"
         )
+        self.cold_endpoints = self._gauge(
+            "cold_endpoints", "Endpoints whose calls are limited while they are cold"
+        )
+        self.calls_to_cold = self._counter(
+            "calls_to_cold", "Calls and probes sent to such endpoints", "service", "kind"
+        )
+        self.accounts = self._gauge("accounts", "Client accounts in force")
+        self.accounts_behind = self._gauge(
+            "accounts_behind", "Client accounts that are served far less often than all together"
+        )
+        self.calls_not_sent = self._counter(
+            "calls_not_sent", "Calls whose key was no longer valid when due", "service", "reason"
+        )
+        self.usage_cap_calls = self._counter(
+            "usage_cap_calls", "Calls of accounts with usage caps by how they were decided", "state"
+        )
+        self.usage_claims_age = self._gauge(
+            "usage_claims_age_seconds", "Age of the oldest claims of another entry that count"
+        )
+        self.evacuated_zones = self._gauge(
+            "evacuated_zones", "Availability zones whose endpoints get no calls"
+        )
         self.rejected_rows = self._gauge(
             "rejected_rows", "Rows of the configuration in force that cannot be used"
         )
--- a/packages/cassiahaven-entry/cassiahaven_entry/operator_api_base.py
+++ b/packages/cassiahaven-entry/cassiahaven_entry/operator_api_base.py
@@ -12,6 +12,7 @@
 from cassiahaven_core.pool import Pool
 from cassiahaven_core.table_codec import table_to_plain
 from cassiahaven_entry.caller_dialect import Environ
+from cassiahaven_entry.clock import now_ms
 from cassiahaven_entry.event import LogEvent, log
 from cassiahaven_entry.metrics import Metrics
 from cassiahaven_entry.tables import Tables
@@ -51,6 +52,7 @@
 
 def endpoints_to_plain(pool: Pool) -> dict[str, dict[str, Any]]:
     """Return the endpoints of a service with their status and its reason, by name."""
+    cold_ms = pool.cold_left_ms_by_name(now_ms())
     return {
         name: {
             "status": endpoint.status.value,
@@ -61,6 +63,7 @@
             "slowness": round(endpoint.slowness, 2),
             "failures": endpoint.consecutive_failures,
             "availability_zone": endpoint.address.availability_zone,
+            "cold_ms": round(cold_ms.get(name, 0)),
         }
         for name, endpoint in sorted(pool.endpoint_by_id.items())
     }
@@ -123,6 +126,10 @@
         """Return where a call would go; only entries with routes can tell."""
         return error_reply(HTTPStatus.NOT_FOUND, "this kind of entry has no routes")
 
+    def _configuration_rows(self) -> dict[str, Any]:
+        """Return the rows of the configuration that apply to all services, with their rollout."""
+        return {}
+
     @abstractmethod
     def _find_explanation(self, call_id: str) -> Explanation | None:
         """Return the explanation of a call, ``None`` if this entry has none."""
@@ -138,6 +145,8 @@
                 return json_reply(self._status())
             case "GET", ["v1", "where"]:
                 return self._where(dict(parse_qsl(environ.get("QUERY_STRING", ""))))
+            case "GET", ["v1", "effective"]:
+                return json_reply(self._configuration_rows())
             case "GET", ["v1", "calls", call_id]:
                 return self._explanation(call_id)
             case "GET", ["v1", "table", service]:
--- a/packages/cassiahaven-entry/cassiahaven_entry/routed_calls.py
+++ b/packages/cassiahaven-entry/cassiahaven_entry/routed_calls.py
@@ -4,13 +4,16 @@
 from copy import copy
 from itertools import count
 
+from cassiahaven_core.account import ClientAccount, combined_priority
 from cassiahaven_core.admission import WaitingCall
 from cassiahaven_core.answer_record import AnswerRecord
 from cassiahaven_core.edge import CallRequest, CallResponse
 from cassiahaven_core.explanation import ExplanationMemory
+from cassiahaven_core.fair_service import FairService
 from cassiahaven_core.outcome import NotRun, Outcome, Ran, Unknown
 from cassiahaven_core.reason import RefusalReason, UnknownReason
 from cassiahaven_core.route import NoRouteReason, Route, RoutingTable
+from cassiahaven_core.usage_cap import Capped
 from cassiahaven_entry.attempts import AttemptRunner
 from cassiahaven_entry.call import Call, Finished
 from cassiahaven_entry.caller_connection import CallerLeft
@@ -19,6 +22,7 @@
 from cassiahaven_entry.event import LogEvent, log
 from cassiahaven_entry.metrics import Metrics
 from cassiahaven_entry.service_task import ServiceTask
+from cassiahaven_entry.usage_exchange import UsageExchange
 
 NO_SERVICE = "none"
 REFUSAL_BY_MISS = {
@@ -27,7 +31,20 @@
     NoRouteReason.REJECTED_ROUTE: RefusalReason.REJECTED_ROUTE,
 }
 CONTENT_LENGTH = "content-length"
-CONFIGURATION_RETRY_MS = 500.0  # a configuration may arrive by then
+RAN = Ran(0, "").header
+# Refusals that say nothing about capacity: operators block or limit the calls, or they are faulty.
+REFUSALS_NOT_COUNTED = frozenset(
+    {
+        RefusalReason.UNAUTHENTICATED,
+        RefusalReason.ACCOUNTS_INCOMPLETE,
+        RefusalReason.STORE_VIEW_STALE,
+        RefusalReason.PARTNER_BLOCKED,
+        RefusalReason.RATE_LIMITED,
+        RefusalReason.USAGE_CAPPED,
+        RefusalReason.QUARANTINED,
+    }
+)
+CONFIGURATION_RETRY_MS = 500.0  # a configuration or contact to the store may arrive by then
 
 
 class RoutedCalls:
@@ -39,6 +56,9 @@
         task_for: Returns the task that owns a service's policy.
         attempts: Sends calls to upstreams and retries them.
         dialect: Protocol that callers speak.
+        has_current_view: Returns whether the state of accounts is recent enough to accept keys.
+        fair_service: Counts of the client accounts' calls.
+        usage: Decides whether accounts are within their usage caps, ``None`` without such caps.
     """
 
     def __init__(
@@ -50,6 +70,9 @@
         dialect: CallerDialect,
         *,
         metrics: Metrics,
+        has_current_view: Callable[[], bool] = lambda: True,
+        fair_service: FairService | None = None,
+        usage: UsageExchange | None = None,
     ) -> None:
         self._process = process
         self._routing = routing
@@ -57,6 +80,9 @@
         self._attempts = attempts
         self._dialect = dialect
         self._metrics = metrics
+        self._has_current_view = has_current_view
+        self._fair_service = fair_service or FairService()
+        self._usage = usage
         self._numbers = count(1)
         self.explanations = ExplanationMemory()
 
@@ -66,14 +92,26 @@
         route = self._routing.match(request.host, path)
         if isinstance(route, NoRouteReason):
             return self._refuse_unrouted(request, route)
+        account = self._identify(request, route)
+        if isinstance(account, RefusalReason):
+            call = Call(request, route.shares[0].service, self._waiting(request, route, None))
+            return self._refuse(call, route, account, CONFIGURATION_RETRY_MS)
         if not route.is_idempotent:
             # An answer before this one may close the connection; callers then repeat this call.
             request.await_turn()
         service = self._routing.choose_service(route)
-        call = Call(request, service, self._waiting(request, route))
+        call = Call(request, service, self._waiting(request, route, account), account=account)
         task = self._task_for(service)
+        if self._usage is not None:
+            capped = self._usage_refusal(account)
+            if capped is not None:
+                call.note("usage cap", f"{capped.state.value} {capped.retry_after_ms:.0f} ms")
+                finished = Finished(NotRun(RefusalReason.USAGE_CAPPED))
+                return self._respond(call, route, task, finished, capped.retry_after_ms)
         try:
-            finished = self._attempts.run(call, task)
+            finished = self._attempts.run(
+                call, task, check=lambda call: self._check_again(call, route)
+            )
         except CallerLeft:
             self._record_end(call, route, "caller-left")
             raise
@@ -82,27 +120,70 @@
             finished = Finished(Unknown(UnknownReason.INTERNAL))
         return self._respond(call, route, task, finished)
 
-    def sample(self, request: CallRequest, route: Route) -> WaitingCall:
+    def sample(
+        self, request: CallRequest, route: Route, account: ClientAccount | None
+    ) -> WaitingCall:
         """Return the call that ``request`` would become, without counting it."""
         twin = copy(self)
         twin._numbers = count(1)
-        return twin._waiting(request, route)
+        return twin._waiting(request, route, account)
+
+    def _identify(self, request: CallRequest, route: Route) -> ClientAccount | RefusalReason | None:
+        """Return the account of a call as of now, or why the call is refused."""
+        if self._routing.has_accounts and request.token and not self._has_current_view():
+            return RefusalReason.STORE_VIEW_STALE
+        return self._routing.identify(request.token, allows_anonymous=route.allows_anonymous)
 
-    def _waiting(self, request: CallRequest, route: Route) -> WaitingCall:
+    def _check_again(self, call: Call, route: Route) -> RefusalReason | None:
+        """Identify a call anew: its key may have been revoked, or moved to another account."""
+        account = self._identify(call.request, route)
+        if isinstance(account, RefusalReason):
+            call.note("not sent", account.value)
+            self._metrics.calls_not_sent.labels(call.service, account.value).inc()
+            return account
+        call.account = account
+        return None
+
+    def _waiting(
+        self, request: CallRequest, route: Route, account: ClientAccount | None
+    ) -> WaitingCall:
         arrived_ms = request.arrived_ms
         limit_ms = route.timeout_ms
         if request.timeout_ms is not None:
             limit_ms = min(limit_ms, request.timeout_ms)
         return WaitingCall(
             f"{self._process}-{next(self._numbers)}",
-            route.name,
+            account.name if account is not None and account.name else route.name,
             route.is_idempotent,
             arrived_ms + limit_ms,
             arrived_ms,
-            priority=route.priority,
+            priority=_priority(route, account),
             target_at_ms=arrived_ms + route.target_ms,
             most_attempts=route.most_attempts,
+            work_class=route.name,
+            body_bytes=len(request.body),
+        )
+
+    def _refuse(
+        self, call: Call, route: Route, reason: RefusalReason, retry_after_ms: float
+    ) -> CallResponse:
+        """Refuse a call before it waits for its service."""
+        outcome = NotRun(reason)
+        self._count(call, outcome)
+        response = self._dialect.local_response(
+            call.service,
+            outcome,
+            request_id=call.request.request_id,
+            retry_after_ms=retry_after_ms,
         )
+        self._record_end(call, route, outcome.header, status=response.status)
+        return response
+
+    def _usage_refusal(self, account: ClientAccount | None) -> Capped | None:
+        """Count a call of ``account``, and return its refusal if it exceeds the usage cap."""
+        if self._usage is None or account is None or not account.name:
+            return None
+        return self._usage.check(account.name)
 
     def _refuse_unrouted(self, request: CallRequest, miss: NoRouteReason) -> CallResponse:
         reason = REFUSAL_BY_MISS[miss]
@@ -123,14 +204,18 @@
         )
 
     def _respond(
-        self, call: Call, route: Route, task: ServiceTask, finished: Finished
+        self,
+        call: Call,
+        route: Route,
+        task: ServiceTask,
+        finished: Finished,
+        retry_after_ms: float | None = None,
     ) -> CallResponse:
         outcome = finished.outcome
         self._count(call, outcome)
         answer = finished.answer
         if answer is None:
-            retry_after_ms = None
-            if isinstance(outcome, NotRun):
+            if retry_after_ms is None and isinstance(outcome, NotRun):
                 retry_after_ms = task.policy.retry_after_ms(call.waiting, now_ms())
             response = self._dialect.local_response(
                 call.service,
@@ -149,6 +234,9 @@
         return CallResponse(answer.status, headers, iter((answer.body,)))
 
     def _count(self, call: Call, outcome: Outcome) -> None:
+        if call.is_of_account and _is_capacity_tried(outcome):
+            is_served = isinstance(outcome, Ran)
+            self._fair_service.record(call.partner, is_served=is_served, now_ms=now_ms())
         kind = outcome.header.partition(";")[0]
         self._metrics.calls.labels(call.service, call.partner, kind).inc()
         self._metrics.latency.record(call.service, now_ms() - call.waiting.arrived_ms)
@@ -160,6 +248,15 @@
             case Ran():
                 pass
 
+    def _fairness(self, account: str) -> dict[str, float | str | None]:
+        """Return how often an account and all accounts together were served lately."""
+        share, overall = self._fair_service.share(account), self._fair_service.overall_share
+        return {
+            "account": account,
+            "account_share": None if share is None else round(share, 3),
+            "overall_share": None if overall is None else round(overall, 3),
+        }
+
     def _record_end(
         self,
         call: Call,
@@ -170,6 +267,7 @@
         record: AnswerRecord | None = None,
     ) -> None:
         call.explanation.outcome = outcome
+        is_fairness_shown = call.is_of_account and outcome != RAN
         # Callers identify a call by the request id that they sent.
         call.explanation.call_id = call.request.request_id or call.call_id
         self.explanations.add(call.explanation)
@@ -185,7 +283,18 @@
             target_ms=route.target_ms,
             took_ms=round(now_ms() - call.waiting.arrived_ms, 1),
             answer=record.to_plain() if record is not None else None,
+            **(self._fairness(call.partner) if is_fairness_shown else {}),
             steps=[
                 f"{step.at_ms:.0f} {step.what} {step.detail}" for step in call.explanation.steps
             ],
         )
+
+
+def _priority(route: Route, account: ClientAccount | None) -> int:
+    if account is None:
+        return route.priority
+    return combined_priority(account.priority, route.priority)
+
+
+def _is_capacity_tried(outcome: Outcome) -> bool:
+    return not (isinstance(outcome, NotRun) and outcome.reason in REFUSALS_NOT_COUNTED)
--- a/packages/cassiahaven-entry/cassiahaven_entry/routed_node.py
+++ b/packages/cassiahaven-entry/cassiahaven_entry/routed_node.py
@@ -1,14 +1,18 @@
 """Components of an entry that reads routes and endpoints from the fleet's store."""
 
 import secrets
+import time
 from collections.abc import Collection, Iterator
 from contextlib import contextmanager
 
 import eventlet
 from eventlet.greenthread import GreenThread
 
+from cassiahaven_core.account import ClientAccount
+from cassiahaven_core.cold_start import ColdListings, ColdShare, ColdShares, has_contact
 from cassiahaven_core.edge import CallResponse, StoreUnavailable, Topic
 from cassiahaven_core.endpoint_address import EndpointAddress
+from cassiahaven_core.fair_service import FairService
 from cassiahaven_core.finding import InvalidDocument
 from cassiahaven_core.membership import Fleet, Member
 from cassiahaven_core.peer_message import (
@@ -24,6 +28,7 @@
 from cassiahaven_core.route import GatewayConfig, RoutingTable
 from cassiahaven_core.routed_settings import RoutedSettings, SocketAddress
 from cassiahaven_core.table import ServiceTable
+from cassiahaven_core.usage_cap import UsageCaps
 from cassiahaven_entry.adapter import PlatformAdapter
 from cassiahaven_entry.attempts import PROBE_TIMEOUT_MS, AttemptRunner
 from cassiahaven_entry.auxiliary_server import AuxiliaryServer
@@ -31,7 +36,7 @@
 from cassiahaven_entry.clock import MS_PER_S, now_ms
 from cassiahaven_entry.event import LogEvent, log
 from cassiahaven_entry.fleet_links import FleetLinks, LinkCallbacks
-from cassiahaven_entry.fleet_view import FleetView
+from cassiahaven_entry.fleet_view import MAX_LISTED_NAMES, FleetView
 from cassiahaven_entry.gateway import HttpFrontend
 from cassiahaven_entry.http_transport import HttpTransport
 from cassiahaven_entry.metrics import Metrics
@@ -40,6 +45,7 @@
 from cassiahaven_entry.store_feed import StoreFeed
 from cassiahaven_entry.supervisor import spawn_supervised
 from cassiahaven_entry.tables import Tables
+from cassiahaven_entry.usage_exchange import UsageExchange
 
 PROCESS_NAME_BYTES = 6
 OK_STATUS = 200
@@ -58,6 +64,9 @@
 RETRY_SHARE_USED = 0.8  # the bound is checked over windows that end between our buckets
 PROBE_SHARE = 0.25  # of the probes an endpoint may get: other zones' serving entries probe it too
 CRASH_CONFIRMATION_MS = 300.0  # a live endpoint has responded by then
+# An entry that starts learns the evacuations together with the endpoints. Where they stay unknown
+# for longer, nobody knows them, and all zones are used.
+EVACUATIONS_PATIENCE_MS = 2000.0
 PEER_KEY = "fleet"  # entries connect over a network that nothing else can reach
 
 
@@ -81,10 +90,17 @@
         self._task_by_service: dict[str, ServiceTask] = {}
         self._registrations_by_service: dict[str, list[Registration]] = {}
         self._outdated_services: set[str] = set()
+        self._accounts: tuple[ClientAccount, ...] | None = None
+        self._had_current_view = True
         self._live: set[str] = set()
         self._serving: dict[str, str] = {}
+        self._cold_listings = ColdListings()
+        self._cold_shares = ColdShares(settings.name, settings.region_by_zone, settings.cold_slack)
+        self._cold_share = ColdShare({}, 0.0)
         self._serving_inputs: tuple[object, ...] = ()
         self._started_ms = now_ms()
+        self._endpoints_known_ms: float | None = None
+        self._follows_evacuations = settings.evacuation_ms is not None
         self.process = f"{settings.name}-{secrets.token_hex(PROCESS_NAME_BYTES)}"
         self.member = Member(
             settings.name,
@@ -95,13 +111,16 @@
             settings.cores,
             str(SocketAddress(settings.callers.host, settings.metrics_port)),
         )
+        self.fair_service = FairService()
         self._build_fleet()
         self._build_calls()
 
     @property
     def is_ready(self) -> bool:
         """Return whether this entry is ready for callers."""
-        return not self.is_draining and bool(self.routing.version) and self.view.has_endpoints
+        if self.is_draining or self._awaits_evacuations():
+            return False
+        return bool(self.routing.version) and self.view.has_endpoints
 
     def _build_fleet(self) -> None:
         self.fleet = Fleet(self.member)
@@ -113,6 +132,8 @@
             on_endpoints=self._on_endpoints,
             on_members=self._on_members,
             on_table=self._apply_table,
+            on_evacuations=self._on_evacuations if self._follows_evacuations else None,
+            on_restored=self._on_store_restored,
         )
         self.metrics.rate_limited_endpoints.set_function(
             lambda: sum(
@@ -131,16 +152,26 @@
                 for task in self._task_by_service.values()
             )
         )
+        self.metrics.cold_endpoints.set_function(
+            lambda: sum(
+                len(task.policy.pool.cold_left_ms_by_name(now_ms()))
+                for task in self._task_by_service.values()
+            )
+        )
+        self.metrics.accounts_behind.set_function(self.fair_service.count_behind)
+        self.metrics.evacuated_zones.set_function(lambda: len(self.view.evacuated_zones))
         self.metrics.kept_endpoints.set_function(lambda: len(self.view.registry.kept_endpoints))
         state = LinkCallbacks(
             report=self._report,
             versions=self.view.versions,
+            state_request=self.view.state_request,
             state_update=self.view.state_update,
             on_state_update=self.view.apply_update,
             on_crash=self._on_crash,
             on_rate_limit=self._apply_rate_limit_notice,
         )
         self.links = FleetLinks(self.fleet, state, key=PEER_KEY, metrics=self.metrics)
+        self.usage = state.usage = self._make_usage_exchange()
         self.store = self._adapter.make_store(self.settings, self.metrics)
         self.tables = Tables(
             self.store,
@@ -156,6 +187,20 @@
             is_starting=lambda: not self.view.has_members,
         )
 
+    def _make_usage_exchange(self) -> UsageExchange | None:
+        bounds = self.settings.usage_cap
+        if bounds is None:
+            return None
+        return UsageExchange(
+            UsageCaps(self.settings.name, self.process, bounds),
+            self.fleet,
+            named=lambda: self._serving,
+            subscribers=lambda: self.links.name_by_connection,
+            send=self.links.send_to_watchers,
+            send_to=self.links.send_to_subscribers,
+            metrics=self.metrics,
+        )
+
     def _build_calls(self) -> None:
         dialect = self._adapter.make_upstream_dialect()
         callers = self._adapter.make_caller_dialect(self.routing)
@@ -177,6 +222,9 @@
             self._attempts,
             callers,
             metrics=self.metrics,
+            has_current_view=self._has_current_view,
+            fair_service=self.fair_service,
+            usage=self.usage,
         )
         caller_address = self.settings.callers
         self.frontend = HttpFrontend(
@@ -194,10 +242,16 @@
             AuxiliaryServer(self.settings.directory, self._answer_directory),
         ]
 
+    def _has_current_view(self) -> bool:
+        """Return whether calls with keys may be served: a revocation may be unknown here."""
+        if not self.settings.fails_closed:
+            return True
+        return self.fleet.store.answer_age_ms(now_ms()) <= self.settings.revocation_ms
+
     def task(self, service: str) -> ServiceTask:
         """Return the task of ``service``, with up-to-date endpoints."""
         task = self._get_or_create_task(service)
-        if service in self._outdated_services:
+        if service in self._outdated_services and not self._awaits_evacuations():
             self._set_endpoints(service, task)
         return task
 
@@ -211,10 +265,13 @@
                 settings.availability_zone,
                 entry=settings.name,
                 zones=settings.region_by_zone,
+                fair_service=self.fair_service,
             )
             self._task_by_service[service] = task
             task.policy.retry_budget.limits = self._retry_limits()
             task.policy.probes_per_s = self.settings.probes_per_s * PROBE_SHARE
+            task.set_cold_share(self._cold_share)
+            task.set_evacuated(self.view.evacuated_zones)
             self._outdated_services.add(service)
             task.set_table(self.tables.table_by_service[service])
         return task
@@ -231,7 +288,12 @@
             "ticks": self._tick_services,
             "callers": lambda: self.frontend.serve(self.calls.run),
         }
-        runs |= {f"store {topic.value}": lambda t=topic: self.feed.follow(t) for topic in Topic}
+        topics = set(Topic)
+        if not self._follows_evacuations:
+            topics.discard(Topic.EVACUATIONS)
+        runs |= {f"store {topic.value}": lambda t=topic: self.feed.follow(t) for topic in topics}
+        if self.usage is not None:
+            runs["usage claims"] = self.usage.run
         runs |= {f"auxiliary server {n}": item.run for n, item in enumerate(self.auxiliary_servers)}
         return [spawn_supervised(name, run) for name, run in runs.items()]
 
@@ -240,11 +302,13 @@
         log(LogEvent.ENTRY_STOPPING, process=self.process)
         started_ms = now_ms()
         self.is_draining = True
+        self._cold_share = ColdShare({}, 0.0)
+        for task in self._task_by_service.values():
+            task.set_cold_share(self._cold_share)
         self.frontend.is_closing = True
         self.fleet.draining.add(self.settings.name)
         self.links.publish_report()
-        for link in self.links.link_by_name.values():
-            link.report(True)
+        self.links.report()
         close_at_ms = started_ms + self.settings.stop_ms * CLOSE_SHARE
         eventlet.sleep(max(0.0, close_at_ms - now_ms()) / MS_PER_S)
         self.frontend.stop()
@@ -286,13 +350,15 @@
 
     def store_age_ms(self) -> float:
         """Return the age of this entry's view of the store, its own or a watcher's."""
-        return self.fleet.store.age_ms(now_ms())
+        return self.fleet.store.answer_age_ms(now_ms())
 
     def serving_entries(self, host: str, zone: str) -> list[Member]:
         """Return the entries that callers in ``zone`` are told to use."""
-        if not self.is_ready and not self.is_draining:
-            return []
-        return self.fleet.serving_entries(zone, SERVING_ENTRY_CORES, now_ms())
+        # An entry that cannot serve yet, or no longer, still names others that do.
+        unusable = self.fleet.starting(now_ms())
+        if not self.is_ready:
+            unusable.add(self.settings.name)
+        return self.fleet.serving_entries(zone, SERVING_ENTRY_CORES, now_ms(), unusable=unusable)
 
     def serving_entry_names(self) -> set[str]:
         """Return the entries that callers of any availability zone use."""
@@ -306,11 +372,16 @@
     def _report(self) -> WatcherReport:
         return WatcherReport(
             live=self.fleet.own_subscribers(now_ms()),
-            draining=sorted(self.fleet.draining),
+            draining=self.fleet.own_draining(),
             store_age_ms=min(self.feed.age_ms, 1e9),
             version_by_topic=self.view.versions(),
+            starting=self._starting_entries(),
         )
 
+    def _starting_entries(self) -> list[str]:
+        own = [] if self.is_ready or self.is_draining else [self.settings.name]
+        return [*own, *self.fleet.own_starting(now_ms())]
+
     def _is_watching(self, topic: Topic) -> bool:
         if not self.view.has_members:
             # Watchers are chosen from the members, so read these first.
@@ -324,13 +395,52 @@
 
     def _on_config(self, config: GatewayConfig) -> None:
         self.metrics.rejected_rows.set(len(config.rejected))
+        self._log_accounts(config)
+        if self.usage is not None:
+            self.usage.caps.set_accounts(config.accounts or ())
         for spec in config.service_by_name.values():
-            self._get_or_create_task(spec.name).health_path = spec.health_path
+            task = self._get_or_create_task(spec.name)
+            task.health_path = spec.health_path
+            task.policy.pool.set_cold_limit(spec.cold_per_s, now_ms())
+            self._outdated_services.add(spec.name)  # the time after a start may have changed
+        if not self._is_ready:
+            # Callers are sent here only once the watchers know of the configuration.
+            self.links.report()
         self.links.publish_report()
 
+    def _log_accounts(self, config: GatewayConfig) -> None:
+        """Log which accounts and keys came and went, without the keys."""
+        before, self._accounts = self._accounts, config.accounts
+        if before == self._accounts:
+            return
+        old = {account.name: account for account in before or ()}
+        new = {account.name: account for account in self._accounts or ()}
+        self.metrics.accounts.set(len(new))
+        rekeyed = [
+            name
+            for name in old.keys() & new.keys()
+            if set(old[name].key_digests) != set(new[name].key_digests)
+        ]
+        log(
+            LogEvent.ACCOUNTS_CHANGED,
+            version=config.version,
+            needed=self._accounts is not None,
+            accounts=len(new),
+            added=sorted(new.keys() - old.keys())[:MAX_LISTED_NAMES],
+            removed=sorted(old.keys() - new.keys())[:MAX_LISTED_NAMES],
+            rekeyed=sorted(rekeyed)[:MAX_LISTED_NAMES],
+        )
+
     def _apply_table(self, table: ServiceTable, source: str) -> None:
         self.tables.add_service(table.service)
-        self.tables.merge_rows(TableRows(table.service, table.revision, table.row_by_name), source)
+        rows = TableRows(table.service, table.revision, table.row_by_name, era=table.era)
+        self.tables.merge_rows(rows, source)
+
+    def _on_store_restored(self, era: int, source: str) -> None:
+        # The store may have lost whole tables, which it then no longer lists.
+        for service, table in self.tables.table_by_service.items():
+            if table.era < era:
+                self.tables.merge_rows(TableRows(service, 0, {}, era=era), source)
 
     def _on_table(self, table: ServiceTable) -> None:
         task = self._task_by_service.get(table.service)
@@ -338,6 +448,9 @@
             task.set_table(table)
 
     def _on_endpoints(self, registrations: Collection[Registration]) -> None:
+        self._cold_listings.observe(registrations, now_ms(), time.time() * MS_PER_S)
+        if self._endpoints_known_ms is None:
+            self._endpoints_known_ms = now_ms()
         before = self._registrations_by_service
         self._registrations_by_service = {}
         for item in registrations:
@@ -347,11 +460,23 @@
                 continue
             # Most entries carry no callers: defer the update until the task is next used.
             self._outdated_services.add(service)
-            if not task.policy.admission.is_idle:
+            if not task.policy.admission.is_idle and not self._awaits_evacuations():
                 self._set_endpoints(service, task)
         self.transport.forget({(item.endpoint, item.incarnation) for item in registrations})
         self.links.publish_report()
 
+    def _on_evacuations(self, zones: frozenset[str]) -> None:
+        for task in self._task_by_service.values():
+            task.set_evacuated(zones)
+        self.links.publish_report()
+
+    def _awaits_evacuations(self) -> bool:
+        """Return whether calls must not be sent yet, as it is not known which zones get none."""
+        if not self._follows_evacuations or self.view.has_evacuations:
+            return False
+        known_ms = self._endpoints_known_ms
+        return known_ms is None or now_ms() - known_ms < EVACUATIONS_PATIENCE_MS
+
     def _on_members(self) -> None:
         for task in self._task_by_service.values():
             task.policy.retry_budget.limits = self._retry_limits()
@@ -379,8 +504,16 @@
             item.slots,
             distance_ms,
             item.cold_ms,
+            self._cold_ends_ms(item),
         )
 
+    def _cold_ends_ms(self, item: Registration) -> float:
+        config = self.routing.config
+        spec = config.service_by_name.get(item.service) if config is not None else None
+        if spec is None or not spec.cold_per_s:
+            return float("-inf")
+        return self._cold_listings.ends_ms(item, spec.cold_ms)
+
     def _retry_limits(self) -> RetryLimits:
         return RetryLimits(
             share=self.settings.retry_share * RETRY_SHARE_USED,
@@ -413,15 +546,18 @@
             task.apply_rate_limit_notice(notice)
 
     def _register(self) -> None:
+        """Register, and again whenever the store was restored to a state without this process."""
         while True:
             try:
                 self.store.register(self.member)
             except StoreUnavailable as error:
                 self.feed.record_availability(False, f"registration: {error}")
                 eventlet.sleep(REGISTER_RETRY_MS / MS_PER_S)
-            else:
-                self.feed.record_availability(True)
-                return
+                continue
+            self.feed.record_availability(True)
+            era = self.store.era
+            while self.view.members_era <= era or self.view.is_registered(self.member):
+                eventlet.sleep(HOUSEKEEPING_INTERVAL_MS / MS_PER_S)
 
     def _run_housekeeping(self) -> None:
         while True:
@@ -429,6 +565,7 @@
             self._log_state_changes()
             self._share_limits()
             self._share_rate_limits()
+            self._share_cold_starts()
             eventlet.sleep(HOUSEKEEPING_INTERVAL_MS / MS_PER_S)
 
     def _share_limits(self) -> None:
@@ -441,17 +578,40 @@
     def _share_rate_limits(self) -> None:
         """Divide the endpoints' rate limits among the entries that serve callers."""
         members = self.fleet.member_by_name
-        inputs = (frozenset(self._live), frozenset(self.fleet.draining), tuple(members.values()))
+        inputs = (
+            frozenset(self._live),
+            frozenset(self.fleet.draining),
+            frozenset(self.fleet.starting(now_ms())),
+            tuple(members.values()),
+        )
         if inputs != self._serving_inputs:
             self._serving_inputs = inputs
             self._serving = {
                 member.name: member.availability_zone
                 for zone in self.settings.region_by_zone
-                for member in self.fleet.serving_entries(zone, SERVING_ENTRY_CORES, now_ms())
+                # Entries that are starting may have callers before all others know that they can.
+                for member in (
+                    *self.fleet.serving_entries(zone, SERVING_ENTRY_CORES, now_ms()),
+                    *self.serving_entries("", zone),
+                )
             }
         for task in self._task_by_service.values():
             task.set_serving_entries(self._serving, live=len(self._live))
 
+    def _share_cold_starts(self) -> None:
+        """Divide the calls that cold endpoints bear among the entries that serve callers."""
+        config = self.routing.config
+        if config is None or not any(item.cold_per_s for item in config.service_by_name.values()):
+            return
+        self._cold_share = self._cold_shares.update(
+            self._serving,
+            members=len(self.fleet.member_by_name),
+            is_in_contact=has_contact(self.fleet, now_ms()),
+            now_ms=now_ms(),
+        )
+        for task in self._task_by_service.values():
+            task.set_cold_share(self._cold_share)
+
     def _log_state_changes(self) -> None:
         live = self.fleet.live_names(now_ms())
         if live != self._live:
@@ -462,6 +622,14 @@
                 live=len(live),
             )
             self._live = live
+        has_current_view = self._has_current_view()
+        if has_current_view != self._had_current_view and self.routing.has_accounts:
+            self._had_current_view = has_current_view
+            log(
+                LogEvent.KEYS_REFUSED,
+                refused=not has_current_view,
+                store_age_ms=round(self.fleet.store.answer_age_ms(now_ms())),
+            )
         if self.is_ready != self._is_ready:
             self._is_ready = self.is_ready
             log(LogEvent.READINESS_CHANGED, ready=self._is_ready, version=self.routing.version)
@@ -483,6 +651,8 @@
 
     def _try_endpoint(self, task: ServiceTask, address: EndpointAddress) -> None:
         self.metrics.probes.labels(task.service).inc()
+        if task.policy.pool.is_cold(address.endpoint):
+            self.metrics.calls_to_cold.labels(task.service, "probe").inc()
         report = self.transport.probe(address, task.health_path, PROBE_TIMEOUT_MS)
         self._attempts.apply_probe(task, address, report)
         task.finish_probe_trial(address.endpoint, report)
--- a/packages/cassiahaven-entry/cassiahaven_entry/service_task.py
+++ b/packages/cassiahaven-entry/cassiahaven_entry/service_task.py
@@ -7,16 +7,18 @@
 from cassiahaven_core.admission import Admission, WaitingCall
 from cassiahaven_core.call_forecast import CallForecast, forecast_call
 from cassiahaven_core.closure import MAX_CLOSURE_MS
+from cassiahaven_core.cold_start import ColdShare
 from cassiahaven_core.endpoint import CallResult, LoadReport, ProbeFailed
 from cassiahaven_core.endpoint_address import EndpointAddress
 from cassiahaven_core.endpoint_gate import SlotShare
+from cassiahaven_core.fair_service import FairService
 from cassiahaven_core.lifecycle import EndpointEvent, EndpointStatus
 from cassiahaven_core.peer_message import RateLimitNotice
 from cassiahaven_core.pool import Pool
 from cassiahaven_core.rate_limit import NOTABLE_CHANGE, UNLIMITED, ShareHistory
 from cassiahaven_core.reason import RefusalReason, RetryReason
 from cassiahaven_core.service import Dispatch, Effect, Refuse, ServicePolicy
-from cassiahaven_core.table import CellValue, ServiceTable
+from cassiahaven_core.table import WILDCARD, CellValue, ServiceTable
 from cassiahaven_entry.clock import MS_PER_S, now_ms
 from cassiahaven_entry.event import LogEvent, log
 
@@ -38,18 +40,26 @@
         availability_zone: Availability zone of this entry.
         entry: Name of this entry.
         zones: All availability zones.
+        fair_service: Counts of the client accounts' calls at this entry.
     """
 
     def __init__(
-        self, service: str, availability_zone: str, *, entry: str = "", zones: Iterable[str] = ()
+        self,
+        service: str,
+        availability_zone: str,
+        *,
+        entry: str = "",
+        zones: Iterable[str] = (),
+        fair_service: FairService | None = None,
     ) -> None:
         self.service = service
-        self.policy = ServicePolicy(service, Pool(), Admission())
+        self.policy = ServicePolicy(service, Pool(), Admission(fair_service=fair_service))
         self.demand_per_s = 0.0
         self.health_path = ""
         self._availability_zone = availability_zone
         self._table = ServiceTable(service)
         self._event_by_call: dict[str, Event] = {}
+        self._cold_names: set[str] = set()
         self._arrivals = 0
         self._demand_measured_ms = now_ms()
         self._share_history = ShareHistory(entry, availability_zone, zones, now_ms())
@@ -111,6 +121,8 @@
     def set_table(self, table: ServiceTable) -> None:
         """Apply a newer table."""
         self._table = table
+        cost_ms_per_kb = self.effective_cell(WILDCARD).zone_cost_ms_per_kb
+        self.policy.pool.placement.cost_ms_per_kb = cost_ms_per_kb
         for partner in self.policy.admission.partner_by_name:
             self._apply_limits(partner)
         self._apply_operator_drains()
@@ -135,6 +147,34 @@
         share = self._share_history.update(zone_by_name, live, now_ms())
         self.policy.pool.set_rate_share(share, now_ms())
 
+    def set_evacuated(self, zones: frozenset[str]) -> None:
+        """Set the availability zones that get no calls, and send waiting calls elsewhere."""
+        self.policy.pool.set_evacuated(zones, now_ms())
+        self.tick()
+
+    def set_cold_share(self, share: ColdShare) -> None:
+        """Set this entry's share of the calls to cold endpoints, and log which of them are."""
+        pool = self.policy.pool
+        pool.set_cold_share(share, now_ms())
+        left_ms_by_name = pool.cold_left_ms_by_name(now_ms())
+        for name in self._cold_names - left_ms_by_name.keys():
+            log(LogEvent.ENDPOINT_WARM, service=self.service, endpoint=name)
+        for name in left_ms_by_name.keys() - self._cold_names:
+            log(
+                LogEvent.ENDPOINT_COLD,
+                service=self.service,
+                endpoint=name,
+                incarnation=pool.endpoint_by_id[name].address.incarnation,
+                left_ms=round(left_ms_by_name[name]),
+                share_per_s=round(pool.endpoint_by_id[name].gate.rate_per_s, 3),
+            )
+        self._cold_names = set(left_ms_by_name)
+
+    def record_cold(self, address: EndpointAddress, left_ms: float | None) -> None:
+        """Apply the remaining cold time that an endpoint named, ``None`` if it named none."""
+        if left_ms is not None:
+            self.policy.pool.record_cold(address.endpoint, address.incarnation, left_ms, now_ms())
+
     def drain(self, endpoint: str, incarnation: str, reason: str) -> bool:
         """Stop dispatching to an endpoint incarnation; return whether its status changed."""
         known = self.policy.pool.endpoint_by_id.get(endpoint)
--- a/packages/cassiahaven-entry/cassiahaven_entry/store_feed.py
+++ b/packages/cassiahaven-entry/cassiahaven_entry/store_feed.py
@@ -16,15 +16,17 @@
     WatchUnanswered,
 )
 from cassiahaven_core.store_outage import StoreOutageDetector
+from cassiahaven_core.store_version import StoreVersion
 from cassiahaven_entry.clock import MS_PER_S, now_ms
 from cassiahaven_entry.event import LogEvent, log
 
 # The answer to a watch may be lost while the store answers everything else, so only the end of the
 # wait bounds how long its changes stay unknown. Changes of these topics take effect within 2 s, and
-# 3 s after a disturbance at the latest; each return of a watch costs a store call.
+# 3 s after a disturbance at the latest (evacuations: 5 s); each return of a watch costs a store
+# call.
 PROMPT_WATCH_WAIT_MS = 1500
 WATCH_WAIT_MS = 5000  # members are also known from their links, and tables have no time limit
-PROMPT_TOPICS = frozenset({Topic.CONFIGURATION, Topic.ENDPOINTS})
+PROMPT_TOPICS = frozenset({Topic.CONFIGURATION, Topic.ENDPOINTS, Topic.EVACUATIONS})
 STORE_CHECK_INTERVAL_MS = 500.0  # with the 500 ms report interval below the age subscribers accept
 COALESCE_MS = 100.0  # coalesces bursts of changes; each return of a watch costs a store call
 IDLE_INTERVAL_MS = 100.0
@@ -58,6 +60,7 @@
     ) -> None:
         self.seen_ms = float("-inf")
         self.is_available = True
+        self._era = store.era
         self._store = store
         self._is_wanted = is_wanted
         self._on_changes = on_changes
@@ -72,10 +75,10 @@
 
     def follow(self, topic: Topic) -> None:
         """Read ``topic``, then watch it, until the process ends."""
-        revision: int | None = None
+        version: StoreVersion | None = None
         while True:
             if not self._is_wanted(topic):
-                revision = None
+                version = None
                 idle_ms = START_INTERVAL_MS if self._is_starting() else IDLE_INTERVAL_MS
                 eventlet.sleep(idle_ms / MS_PER_S)
                 continue
@@ -83,6 +86,9 @@
                 # ``check`` detects the store's recovery for all topics with one cheap request.
                 eventlet.sleep(IDLE_INTERVAL_MS / MS_PER_S)
                 continue
+            if version is not None and version.era != self._store.era:
+                version = None
+            revision = None if version is None else version.revision
             try:
                 changes = self._next(topic, revision)
             except WatchRestarted:
@@ -92,13 +98,18 @@
                 continue
             except HistoryGone:
                 log(LogEvent.STORE_HISTORY_GONE, topic=topic.value, revision=revision)
-                revision = None
+                version = None
                 continue
             except StoreUnavailable as error:
                 self.record_availability(False, f"{topic.value}: {error}")
                 continue
             self.record_availability(True)
-            revision = changes.revision
+            if version is not None and changes.era != version.era:
+                # The revision was issued again: what changed before it is unknown.
+                log(LogEvent.STORE_HISTORY_GONE, topic=topic.value, revision=revision)
+                version = None
+                continue
+            version = changes.version
             self._report_findings(topic, changes.changes)
             self._on_changes(topic, changes)
             if not changes.is_whole:
@@ -132,6 +143,9 @@
         if is_available:
             self.seen_ms = now_ms()
             self._contact.record_answer(self.seen_ms)
+            if self._store.era > self._era:
+                self._era = self._store.era
+                self._restart_watches()
         else:
             self._contact.record_request(now_ms())
         if is_available == self.is_available:
--- a/packages/cassiahaven-entry/tests/test_fleet_links.py
+++ b/packages/cassiahaven-entry/tests/test_fleet_links.py
@@ -4,6 +4,7 @@
 import socket
 import threading
 from contextlib import nullcontext
+from types import SimpleNamespace
 
 import eventlet
 import pytest
@@ -14,13 +15,18 @@
 from cassiahaven_core.membership import Fleet, Member
 from cassiahaven_core.peer_message import (
     Encoded,
+    MemberReport,
     RateLimitNotice,
     RateLimitNotices,
+    ReportRequest,
     StateNews,
     StateRequest,
     WatcherReport,
+    WatcherReportChange,
     decode,
 )
+from cassiahaven_core.store_version import StoreVersion
+from cassiahaven_core.watcher_report import ReportReplica
 from cassiahaven_entry.clock import now_ms
 from cassiahaven_entry.fleet_links import (
     COALESCE_MS,
@@ -32,6 +38,7 @@
     WatcherLink,
 )
 from cassiahaven_entry.metrics import Metrics
+from cassiahaven_entry.routed_node import RoutedNode
 from cassiahaven_standins.fleet import free_port
 
 ROUTES = {str(number): ["route", number] for number in range(1000)}
@@ -71,6 +78,7 @@
     return LinkCallbacks(
         report=lambda: None,
         versions=lambda: {"configuration": state.version},
+        state_request=lambda topic: StateRequest(topic, 1),
         state_update=state.state_update,
         on_state_update=lambda state_update, peer: None,
         on_crash=lambda notice: None,
@@ -83,7 +91,7 @@
     assert state.written == 1
     [reply] = replies[0]
     assert isinstance(reply, Encoded)
-    assert decode(reply.data) == StateNews("configuration", 2, True, ROUTES)
+    assert decode(reply.data) == StateNews("configuration", StoreVersion(0, 2), True, ROUTES)
     state.version = 3
     links.receive("0", StateRequest("configuration", 1))
     assert state.written == 2
@@ -101,6 +109,63 @@
     assert asked == ["a1"]
 
 
+def test_subscriber_that_missed_a_change_asks_for_the_full_report(clock, state):
+    """Guards against a subscriber that keeps a wrong list of live entries after a gap."""
+    asked = []
+    fleet = Fleet(member("a2"))
+    fleet.set_members([member(name) for name in ("a2", "b1", "c1")])
+    callbacks = fleet_state(state)
+    link = WatcherLink(member("b1"), "k", fleet, callbacks, StateRequestPacer(), lambda: True)
+    link.send = asked.append
+    versions = {"configuration": 2}
+    link._receive(WatcherReport(["a2", "b1"], [], 0.0, versions, 1))
+    for _ in range(2):
+        link._receive(WatcherReportChange(3, [], ["c1"], [], [], 0.0, {}))
+    assert asked == [ReportRequest()]
+    link._receive(WatcherReport(["b1", "c1"], [], 0.0, versions, 4))
+    assert fleet.live_names(now_ms()) == {"a2", "b1", "c1"}
+    link._on_connected()
+    link._receive(WatcherReport(["b1"], [], 0.0, versions, 1))
+    link._receive(WatcherReportChange(2, ["a2"], [], [], [], 0.0, {}))
+    assert fleet.live_names(now_ms()) == {"a2", "b1"}
+
+
+@pytest.mark.parametrize(("is_ready", "named"), [(False, ["b1"]), (True, ["a2"])])
+def test_lookup_at_an_entry_that_is_not_ready_names_others(clock, is_ready, named):
+    """Guards against lookups without an answer at an entry that knows live ones."""
+    fleet = Fleet(member("a2"))
+    fleet.set_members([member(name) for name in ("a2", "a3", "b1")])
+    fleet.record_watcher_report(
+        "b1",
+        live=["a2", "a3", "b1"],
+        draining=[],
+        store_age_ms=0.0,
+        now_ms=now_ms(),
+        starting=["a2", "a3"],
+    )
+    node = SimpleNamespace(
+        fleet=fleet, is_ready=is_ready, is_draining=False, settings=SimpleNamespace(name="a2")
+    )
+    assert [item.name for item in RoutedNode.serving_entries(node, "", "a")] == named
+
+
+def test_new_subscriber_can_apply_the_next_change(links):
+    """Guards against a first report that is newer than the one that changes are based on."""
+    versions = {"configuration": 2}
+    links._state.report = lambda: WatcherReport(["a1"], [], 0.0, versions)
+    links.receive("0", MemberReport("a2", False))
+    links._publish_report()
+    links._state.report = lambda: WatcherReport(["a1", "a2"], [], 0.0, versions)
+    [first] = links.greeting()
+    published = []
+    links._server.publish = published.append
+    links._publish_report()
+    replica = ReportReplica()
+    replica.apply(first)
+    assert not replica.apply(published[0])
+    assert set(replica.report.live) == {"a1", "a2"}
+
+
 def test_far_watcher_is_requested_when_the_near_one_does_not_reply():
     request_pacer = StateRequestPacer()
     assert not request_pacer.is_due("configuration", prefers_another=True, now_ms=0.0)
--- a/packages/cassiahaven-standins/cassiahaven_standins/platform_fleet.py
+++ b/packages/cassiahaven-standins/cassiahaven_standins/platform_fleet.py
@@ -6,7 +6,7 @@
 import signal
 import subprocess
 import sys
-from collections.abc import Iterator
+from collections.abc import Iterator, Sequence
 from contextlib import contextmanager
 from pathlib import Path
 from typing import Any
@@ -19,6 +19,7 @@
 ZONES = ("a", "b")
 GRACE_MS = 2500
 MEMORY_MB = 300
+ACCOUNT_COLUMNS = ("name", "apiKeys", "priority", "ratePerS", "burst")
 
 
 class Entry:
@@ -33,8 +34,10 @@
         *,
         grace_ms: int = GRACE_MS,
         python: str = sys.executable,
+        bounds: Sequence[str] = (),
     ) -> None:
         self.name = name
+        self._bounds = bounds
         self.zone = zone
         self._grace_ms = grace_ms
         self._python = python
@@ -66,6 +69,7 @@
                 "budgetWindow=10s",
                 "budgetSlack=60",
                 "probesPerS=60",
+                *self._bounds,
             ],
             "platform": {"address": store},
         }
@@ -135,6 +139,7 @@
         has_proxies: Whether each entry reaches the store through a proxy.
         has_peer_proxies: Whether the other entries reach each entry through a proxy.
         python: Interpreter of the entries.
+        bounds: Further bounds in the entries' settings, such as ``failClosed=true``.
     """
 
     def __init__(
@@ -146,6 +151,7 @@
         has_peer_proxies: bool = False,
         grace_ms: int = GRACE_MS,
         python: str = sys.executable,
+        bounds: Sequence[str] = (),
     ) -> None:
         self.store = PlatformStore()
         host, _, port = self.store.address.partition(":")
@@ -160,6 +166,7 @@
                 folder,
                 grace_ms=grace_ms,
                 python=python,
+                bounds=bounds,
             )
             for n in range(entries)
         ]
@@ -186,6 +193,10 @@
         self.store.state.put("servers", name, endpoint.registration())
         return endpoint
 
+    def evacuate(self, zone: str) -> None:
+        """Store the evacuation of a zone."""
+        self.store.state.put("evacuations", zone, {})
+
     def drain(self, name: str) -> None:
         """Register an endpoint as draining."""
         registration = self.endpoint_by_name[name].registration("draining")
@@ -198,12 +209,28 @@
         timeout_ms: int = 2000,
         target_ms: int = 300,
         largest_body_bytes: int = 1_000_000,
+        accounts: list[list[Any]] | None = None,
+        anonymous: frozenset[str] = frozenset(),
+        cold_start_ms: int = 0,
+        cold_per_s: float = 0.0,
     ) -> int:
-        """Store a configuration with a route of each kind for each prefix."""
+        """Store a configuration with a route of each kind for each prefix.
+
+        Args:
+            service_by_prefix: Service of the routes of each prefix.
+            timeout_ms: Timeout of each route.
+            target_ms: Target latency of each route.
+            largest_body_bytes: Largest body that callers may send.
+            accounts: Rows of the table of client accounts, ``None`` for no such table.
+            anonymous: Prefixes whose routes need no key.
+            cold_start_ms: Time for which endpoints are cold after their start.
+            cold_per_s: Calls a second that a cold endpoint bears, 0 for no limit.
+        """
         self.version += 3
         columns = [
             *("name", "hostname", "pathPrefix", "kind", "timeout"),
             *("targetLatency", "priority", "maxAttempts", "service"),
+            "allowAnonymous",
         ]
         rows = [
             [
@@ -216,6 +243,7 @@
                 1,
                 2,
                 service,
+                prefix in anonymous,
             ]
             for prefix, service in service_by_prefix.items()
             for kind in ("safe", "unsafe", "download")
@@ -225,8 +253,14 @@
             "version": self.version,
             "routes": {"columns": columns, "rows": rows},
             "services": {
-                "columns": ["name", "healthPath", "maxConnections", "protocol", "tls"],
-                "rows": [[name, "/health", 240, "h1", False] for name in services],
+                "columns": [
+                    *("name", "healthPath", "maxConnections", "protocol", "tls"),
+                    *("coldStart", "coldPerS"),
+                ],
+                "rows": [
+                    [name, "/health", 240, "h1", False, f"{cold_start_ms}ms", cold_per_s]
+                    for name in services
+                ],
             },
             "limits": {
                 "maxHeaderBytes": 16384,
@@ -235,6 +269,8 @@
                 "idleTimeout": "15000ms",
             },
         }
+        if accounts is not None:
+            spec["tenants"] = {"columns": list(ACCOUNT_COLUMNS), "rows": accounts}
         return self.store.state.put("config", "main", spec)
 
     def start(self) -> None:
@@ -252,16 +288,18 @@
         request: str,
         body: bytes = b"",
         deadline_ms: int = 2000,
+        headers: dict[str, str] | None = None,
     ) -> tuple[int, bytes, dict[str, str]]:
         """Send a call and return status, body and headers; status 0 means a broken connection."""
         connection = http.client.HTTPConnection("127.0.0.1", entry.front_port, timeout=10)
-        headers = {
+        sent_headers = {
             "Host": "h.example",
             "Request-Id": request,
             "Deadline-Ms": str(deadline_ms),
+            **(headers or {}),
         }
         try:
-            connection.request(method, target, body=body or None, headers=headers)
+            connection.request(method, target, body=body or None, headers=sent_headers)
             response = connection.getresponse()
             return response.status, response.read(), dict(response.getheaders())
         except (OSError, http.client.HTTPException):
