Forecast the quota of an account, and show the ages of claims and watchers

A forecast named the account's rate and burst, but not whether the call would exceed its quota. UsageCaps.forecast runs admit on a copy of what the entry knows of the account, so no call is counted. The reason for refusing a call without a key, or with a stale view of the store, comes from the code that identifies callers.

--- a/packages/cassiahaven-cli/cassiahaven_cli/report.py
+++ b/packages/cassiahaven-cli/cassiahaven_cli/report.py
@@ -89,9 +89,11 @@
         f"{plain['method']} {plain['host']}{plain['path']}, asked of {plain['entry']}",
         f"route: {_route_text(plain['route'])}, configuration {plain['version']}",
         f"account: {_account_text(plain['account'])}",
+        *_quota_lines(plain["quota"]),
         f"entries for callers in {plain['zone']}: {serving}",
         f"call: {_verdict_text(plain)}",
         f"age of the view of the store: {_ms(plain['ages_ms']['store'])}",
+        f"age of the last message: {_ages_text(plain['ages_ms'])}",
     ]
     if not plain["endpoints"]:
         return "\n".join(lines)
@@ -124,13 +126,34 @@
     if plain is None:
         return "none"
     quota = f"{plain['rate_per_s']:g} a second" if plain["rate_per_s"] else "no quota"
-    return f"{plain['name']}, {quota}, burst {plain['burst']:g}"
+    own = plain["priority"]
+    priority = "of the route" if own is None else f"{own}"
+    return f"{plain['name']}, priority {priority}, {quota}, burst {plain['burst']:g}"
+
+
+def _quota_lines(plain: dict[str, Any] | None) -> list[str]:
+    if plain is None:
+        return []
+    shares = ", ".join(f"{name} {share:.2f}" for name, share in plain["share_by_entry"].items())
+    ages = ", ".join(f"{name} {_ms(age)}" for name, age in plain["claim_age_ms_by_entry"].items())
+    return [
+        f"quota: {plain['used']} of {plain['quota']:g} calls used, {plain['own_used']} here, "
+        f"share of this entry {plain['share']:.2f} ({plain['decision']})",
+        f"claimed shares: {shares or 'none'}; age of claims: {ages or 'none'}; "
+        f"age of contact: {_ms(plain['contact_age_ms'])}",
+    ]
+
+
+def _ages_text(ages_ms: dict[str, float | None]) -> str:
+    watchers = [f"{name} {_ms(age)}" for name, age in ages_ms.items() if name != "store"]
+    return ", ".join(watchers) or "none, this entry is a watcher or hears none"
 
 
 def _verdict_text(plain: dict[str, Any]) -> str:
     match plain["verdict"]:
         case "sent":
-            return f"sent to {plain['endpoint']} at once"
+            left = f", leaves the zone: {plain['left_zone']}" if plain["left_zone"] else ""
+            return f"sent to {plain['endpoint']} at once{left}"
         case "waits":
             return f"waits about {_ms(plain['wait_ms'])} behind {plain['waiting']} calls"
     retry_after_ms = plain["retry_after_ms"]
--- a/packages/cassiahaven-core/cassiahaven_core/call_forecast.py
+++ b/packages/cassiahaven-core/cassiahaven_core/call_forecast.py
@@ -1,5 +1,6 @@
 """Forecast of what would happen to a call, from a copy of the state that decides."""
 
+import math
 from copy import deepcopy
 from dataclasses import dataclass, replace
 from enum import Enum
@@ -40,6 +41,8 @@
         opens_in_ms: Time until closure and rate limit let a call through.
         status_age_ms: Time since the status changed.
         report_age_ms: Time since the last load report, ``None`` without one.
+        limit_age_ms: Time since the rate limit was last learned or lifted, ``None`` without.
+        cold_left_ms: Time for which it is still cold, ``None`` if it is warm.
         success_age_ms: Time since the last success, which the slowness is from, ``None`` without.
     """
 
@@ -56,6 +59,8 @@
     status_age_ms: float
     report_age_ms: float | None
     success_age_ms: float | None
+    limit_age_ms: float | None
+    cold_left_ms: float | None
 
 
 @dataclass(frozen=True, slots=True)
@@ -172,6 +177,7 @@
 
 def _describe(pool: Pool, endpoint: Endpoint, need: CallNeed, now_ms: float) -> EndpointForecast:
     gate, reported = endpoint.gate, endpoint.reported
+    limited_ms = gate.rate_limit_changed_ms
     has_succeeded = endpoint.slowness_updated_ms > 0
     return EndpointForecast(
         endpoint=endpoint.address.endpoint,
@@ -187,6 +193,8 @@
         status_age_ms=now_ms - endpoint.since_ms,
         report_age_ms=now_ms - endpoint.reported_at_ms if reported is not None else None,
         success_age_ms=now_ms - endpoint.slowness_updated_ms if has_succeeded else None,
+        limit_age_ms=now_ms - limited_ms if limited_ms > -math.inf else None,
+        cold_left_ms=max(0.0, gate.cold.ends_ms - now_ms) if gate.cold is not None else None,
     )
 
 
--- a/packages/cassiahaven-core/cassiahaven_core/usage_cap.py
+++ b/packages/cassiahaven-core/cassiahaven_core/usage_cap.py
@@ -2,7 +2,8 @@
 
 from collections import deque
 from collections.abc import Iterable, Mapping
-from dataclasses import dataclass, field
+from copy import copy, deepcopy
+from dataclasses import dataclass, field, replace
 from enum import Enum
 from math import exp
 from typing import Any, TypeAlias
@@ -79,6 +80,30 @@
 CapDecision: TypeAlias = Admitted | Capped
 
 
+@dataclass(frozen=True, slots=True)
+class CapForecast:
+    """What would be decided about a call of a capped account that arrived now.
+
+    Attributes:
+        quota: Calls that all entries may admit within the window.
+        used: Calls in the window at all entries, as far as known.
+        own_used: Calls in the window at this entry.
+        share: Share of what is left that this entry would have, 0 without contact to the fleet.
+        share_by_entry: Where the shares lie by the claimed rates.
+        claim_age_ms_by_entry: Age of the last claim of each other entry.
+        contact_age_ms: Time since this entry last heard a watcher.
+    """
+
+    decision: CapDecision
+    quota: float
+    used: int
+    own_used: int
+    share: float
+    share_by_entry: dict[str, float]
+    claim_age_ms_by_entry: dict[str, float]
+    contact_age_ms: float
+
+
 @dataclass(frozen=True, slots=True)
 class Claim:
     """Use of an account at one entry.
@@ -377,6 +402,53 @@
         state = CapState.CAPPED if is_in_contact else CapState.NO_CONTACT
         return Capped(self._retry_after_ms(capped, usage, room, now_ms), state)
 
+    def forecast(self, account: str, now_ms: float) -> "CapForecast | None":
+        """Return what ``admit`` would decide, without counting a call; ``None`` without a cap.
+
+        It runs on a copy of what it knows of the account: also the reserve for a silent process is
+        kept from the first time that it is asked for.
+        """
+        if account not in self.account_by_name:
+            return None
+        twin = self._copy(account)
+        claims = twin.claims_by_entry(account, now_ms)
+        rates = sum(claim.rate_per_s for claim in claims.values())
+        own = claims.get(self._entry, Claim(0.0, 0))
+        used = twin.used(account, now_ms)
+        return CapForecast(
+            twin.admit(account, now_ms),
+            twin.quota(account),
+            used,
+            own.used,
+            twin.share(account, now_ms),
+            {
+                entry: claim.rate_per_s / rates if rates > 0 else 0.0
+                for entry, claim in sorted(claims.items())
+            },
+            {
+                peer.entry: now_ms - peer.claim_by_account[account][1]
+                for peer in twin._peer_by_process.values()
+                if account in peer.claim_by_account
+            },
+            now_ms - self._contact_ms,
+        )
+
+    def _copy(self, account: str) -> "UsageCaps":
+        """Return a copy that knows of one account only."""
+        twin = copy(self)
+        usage = self._usage_by_account.get(account)
+        twin._usage_by_account = {} if usage is None else {account: deepcopy(usage)}
+        twin._peer_by_process = {
+            process: replace(
+                peer,
+                claim_by_account=_only(peer.claim_by_account, account),
+                rates_by_account=_only(peer.rates_by_account, account),
+                reserve_by_account=_only(peer.reserve_by_account, account),
+            )
+            for process, peer in self._peer_by_process.items()
+        }
+        return twin
+
     def quota(self, account: str) -> float:
         """Return the calls of ``account`` that all entries may admit in a window."""
         item = self.account_by_name[account]
@@ -742,6 +814,11 @@
         return min(window_ms, usage.promised_ms - now_ms)
 
 
+def _only(value_by_account: Mapping[str, Any], account: str) -> dict[str, Any]:
+    """Return a copy of the items of one account."""
+    return {name: deepcopy(value) for name, value in value_by_account.items() if name == account}
+
+
 def _confirmed(usage: _Usage, number: float, rate_per_s: float) -> tuple[int, float]:
     """Return the calls that a report up to ``number`` holds, and the least rate since then."""
     while len(usage.reports) > 1 and usage.reports[1].number <= number:
--- a/packages/cassiahaven-entry/cassiahaven_entry/call_placement.py
+++ b/packages/cassiahaven-entry/cassiahaven_entry/call_placement.py
@@ -7,14 +7,14 @@
 
 from cassiahaven_core.account import ClientAccount
 from cassiahaven_core.edge import CallRequest
+from cassiahaven_core.reason import RefusalReason
 from cassiahaven_core.route import NoRouteReason, Route
-from cassiahaven_entry.clock import now_ms
+from cassiahaven_core.usage_cap import CapForecast, Capped
+from cassiahaven_entry.clock import boot_ms, now_ms
 from cassiahaven_entry.operator_api_base import BadRequest
 from cassiahaven_entry.routed_calls import REFUSAL_BY_MISS
 from cassiahaven_entry.routed_node import RoutedNode
 
-NO_ACCOUNT = "the route needs a key"
-
 
 class CallPlacement:
     """Explain where one entry would send a call.
@@ -53,7 +53,8 @@
             "route": None,
             "account": self._account_to_plain(),
             "serving": [{"name": item.name, "operators": item.operators} for item in serving],
-            "ages_ms": {"store": _finite(node.store_age_ms())},
+            "ages_ms": _finite(node.ages_ms()),
+            "quota": None,
             "endpoints": [],
         }
         route = node.routing.match(self._host, self._path.partition("?")[0])
@@ -68,13 +69,22 @@
             "target_ms": route.target_ms,
             "timeout_ms": route.timeout_ms,
         }
-        # Decisions that precede the service's, such as those on keys and quotas, belong here.
-        if node.routing.has_accounts and self._account is None and not route.allows_anonymous:
-            return plain | _refused(NO_ACCOUNT)
-        return plain | self._forecast(route, service)
-
-    def _forecast(self, route: Route, service: str) -> dict[str, Any]:
-        call = self._node.calls.sample(self._request(), route, self._account)
+        account = node.calls.identify_holder(self._account, route)
+        if isinstance(account, RefusalReason):
+            return plain | _refused(account.value)
+        if account is not None and account.name and node.usage is not None:
+            cap = node.usage.caps.forecast(account.name, boot_ms())
+            if cap is not None:
+                plain["quota"] = _cap_to_plain(cap)
+                if isinstance(cap.decision, Capped):
+                    reason = RefusalReason.USAGE_CAPPED.value
+                    return plain | _refused(reason, cap.decision.retry_after_ms)
+        return plain | self._forecast(route, service, account)
+
+    def _forecast(
+        self, route: Route, service: str, account: ClientAccount | None
+    ) -> dict[str, Any]:
+        call = self._node.calls.sample(self._request(), route, account)
         found = asdict(self._node.task(service).forecast(call))
         return _finite(found | {"verdict": found["verdict"].value})
 
@@ -111,12 +121,18 @@
     return value
 
 
-def _refused(reason: str) -> dict[str, Any]:
+def _cap_to_plain(cap: CapForecast) -> dict[str, Any]:
+    plain = asdict(cap)
+    return _finite(plain | {"decision": cap.decision.state.value})
+
+
+def _refused(reason: str, retry_after_ms: float | None = None) -> dict[str, Any]:
     return {
         "verdict": "refused",
         "endpoint": "",
         "reason": reason,
         "wait_ms": None,
-        "retry_after_ms": None,
+        "retry_after_ms": retry_after_ms,
         "waiting": 0,
+        "left_zone": "",
     }
--- a/packages/cassiahaven-entry/cassiahaven_entry/routed_calls.py
+++ b/packages/cassiahaven-entry/cassiahaven_entry/routed_calls.py
@@ -92,7 +92,7 @@
         route = self._routing.match(request.host, path)
         if isinstance(route, NoRouteReason):
             return self._refuse_unrouted(request, route)
-        account = self._identify(request, route)
+        account = self._identify(request.token, route)
         if isinstance(account, RefusalReason):
             call = Call(request, route.shares[0].service, self._waiting(request, route, None))
             return self._refuse(call, route, account, CONFIGURATION_RETRY_MS)
@@ -128,15 +128,28 @@
         twin._numbers = count(1)
         return twin._waiting(request, route, account)
 
-    def _identify(self, request: CallRequest, route: Route) -> ClientAccount | RefusalReason | None:
+    def identify_holder(
+        self, account: ClientAccount | None, route: Route
+    ) -> ClientAccount | RefusalReason | None:
+        """Return the account of a call with a key of ``account``, or why the call is refused.
+
+        Args:
+            account: The account, ``None`` for a call without a key.
+            route: The call's route.
+        """
+        if account is None:
+            return self._identify(None, route)
+        return account if self._has_current_view() else RefusalReason.STORE_VIEW_STALE
+
+    def _identify(self, token: str | None, route: Route) -> ClientAccount | RefusalReason | None:
         """Return the account of a call as of now, or why the call is refused."""
-        if self._routing.has_accounts and request.token and not self._has_current_view():
+        if self._routing.has_accounts and token and not self._has_current_view():
             return RefusalReason.STORE_VIEW_STALE
-        return self._routing.identify(request.token, allows_anonymous=route.allows_anonymous)
+        return self._routing.identify(token, allows_anonymous=route.allows_anonymous)
 
     def _check_again(self, call: Call, route: Route) -> RefusalReason | None:
         """Identify a call anew: its key may have been revoked, or moved to another account."""
-        account = self._identify(call.request, route)
+        account = self._identify(call.request.token, route)
         if isinstance(account, RefusalReason):
             call.note("not sent", account.value)
             self._metrics.calls_not_sent.labels(call.service, account.value).inc()
--- a/packages/cassiahaven-entry/cassiahaven_entry/routed_node.py
+++ b/packages/cassiahaven-entry/cassiahaven_entry/routed_node.py
@@ -348,9 +348,17 @@
             )
         return response
 
-    def store_age_ms(self) -> float:
-        """Return the age of this entry's view of the store, its own or a watcher's."""
-        return self.fleet.store.answer_age_ms(now_ms())
+    def ages_ms(self) -> dict[str, float]:
+        """Return the ages of what this entry knows of the store and of the other entries.
+
+        The view of the store, its own or a watcher's, bounds the age of routes, accounts, endpoints
+        and evacuations.
+        """
+        at_ms = now_ms()
+        ages = {"store": self.fleet.store.answer_age_ms(at_ms)}
+        for name, view in sorted(self.fleet.view_by_watcher.items()):
+            ages[f"watcher {name}"] = at_ms - view.last_message_ms
+        return ages
 
     def serving_entries(self, host: str, zone: str) -> list[Member]:
         """Return the entries that callers in ``zone`` are told to use."""
