--- a/tests/test_platform_operators.py
+++ b/tests/test_platform_operators.py
@@ -182,6 +182,7 @@
     assert found["endpoints"][0]["endpoint"] == found["endpoint"]
     assert found["entry"] in {item["name"] for item in found["serving"]}
     assert found["ages_ms"]["store"] is not None
+    assert (found["quota"], found["left_zone"]) == (None, "")
     assert where("h.example", "/nowhere/")["reason"] == "no-route"
     assert run_command(fleet, "where", "h.example", "/", "--account", "a").returncode == 2
     shown = run_command(fleet, "where", "h.example", "/safe/x/1").stdout
