--- a/tests/test_platform_operators.py
+++ b/tests/test_platform_operators.py
@@ -189,3 +189,32 @@
     assert f"sent to {found['endpoint']}" in shown or "sent to i-" in shown
     assert "why" in shown
     assert [len(item.state.arrivals) for item in fleet.endpoint_by_name.values()] == arrivals
+
+
+def test_where_tells_the_quota_of_an_account_and_counts_no_call(tmp_path, run_command):
+    # A command that counted calls would use up the quota that it explains.
+    bounds = ["quotaWindow=5s", "quotaOverage=0.1", "quotaSlack=20"]
+    with platform_fleet(tmp_path, bounds=bounds) as fleet:
+        fleet.add_endpoint("i-1", "one")
+        fleet.configure({"x": "one"}, accounts=[["ada", ["key-of-ada"], 2, 0.5, 1]])
+        fleet.start()
+
+        def where(*arguments):
+            done = run_command(fleet, "where", "h.example", "/safe/x/1", *arguments, "--json")
+            assert done.returncode == 0, done.stderr
+            return json.loads(done.stdout)
+
+        assert where()["reason"] == "unauthenticated"
+        asked = [where("--account", "ada") for _ in range(3)]
+        assert {(item["verdict"], item["quota"]["used"]) for item in asked} == {("sent", 0)}
+        assert (asked[0]["account"]["priority"], asked[0]["quota"]["quota"]) == (2, 3.5)
+        headers = {"Authorization": "Bearer key-of-ada"}
+        statuses = [
+            fleet.call(fleet.entries[0], "GET", "/safe/x/1", request=f"q{n}", headers=headers)[0]
+            for n in range(40)
+        ]
+        assert statuses[-1] == 429
+        capped = where("--account", "ada")
+        assert (capped["verdict"], capped["reason"]) == ("refused", "usage-capped")
+        assert capped["retry_after_ms"] > 0
+        assert capped["quota"]["used"] == statuses.count(200)
