--- a/packages/cassiahaven-core/cassiahaven_core/pool.py
+++ b/packages/cassiahaven-core/cassiahaven_core/pool.py
@@ -285,7 +285,7 @@
         endpoint = self.endpoint_by_id.get(address.endpoint)
         if endpoint is None or endpoint.address.incarnation != address.incarnation:
             return False
-        if endpoint.gate.closed_for_ms(now_ms) or self._is_evacuated(endpoint):
+        if endpoint.gate.closed_for_ms(now_ms) or self.is_evacuated(endpoint):
             return False
         return endpoint.is_serving or endpoint.status is EndpointStatus.TRIAL
 
@@ -482,7 +482,7 @@
                 continue
             if excluded and endpoint.address.endpoint in excluded:
                 continue
-            cost = self._cost(endpoint, now_ms, need)
+            cost = self.cost(endpoint, now_ms, need)
             if cost < best_cost:
                 best, best_cost = endpoint, cost
             if not distance_ms and cost < home.cost:
@@ -677,7 +677,7 @@
         endpoint = self.endpoint_by_id.get(name)
         if endpoint is None or now_ms - endpoint.reported_at_ms < FRESH_REPORT_MS:
             return False
-        if self._is_evacuated(endpoint):
+        if self.is_evacuated(endpoint):
             return False
         if endpoint.gate.rate_limit is not None or endpoint.gate.closed_for_ms(now_ms):
             # A probe is a request too, and the endpoint asks for fewer or none.
@@ -717,14 +717,30 @@
             return None
         self._give_back(endpoint, started)
         best = self.choose(now_ms, idempotent=False, excluded=excluded | {name}, need=need)
-        if best is not None and self._cost(best, now_ms, need) < self._cost(endpoint, now_ms, need):
+        if best is not None and self.cost(best, now_ms, need) < self.cost(endpoint, now_ms, need):
             self.start(best, call_id, started.partner, now_ms)
             self._end_trial_unsent(endpoint, now_ms)
             return best
         self.start(endpoint, call_id, started.partner, now_ms)
         return None
 
-    def _is_evacuated(self, endpoint: Endpoint) -> bool:
+    def is_full(self, endpoint: Endpoint, need: CallNeed, now_ms: float) -> bool:
+        """Return whether the calls of other entries leave no slot for a call at an endpoint."""
+        spare = 0 if need.may_run_twice else self._spare_slots(now_ms)
+        return self._is_full(endpoint, now_ms, spare=spare)
+
+    def slot_limit(self, endpoint: Endpoint) -> float:
+        """Return how many calls this entry may have in flight at an endpoint."""
+        gate = endpoint.gate
+        return min(self._slot_limit.limit(gate.limit), gate.most_in_flight)
+
+    def cost(self, endpoint: Endpoint, now_ms: float, need: CallNeed) -> float:
+        """Return the expected cost of a call at an endpoint, with that of the distance."""
+        cost = endpoint.cost(self._typical_slowdown, now_ms)
+        return self.placement.weigh(cost, need, endpoint.address.distance_ms)
+
+    def is_evacuated(self, endpoint: Endpoint) -> bool:
+        """Return whether the endpoint's zone is evacuated, so that it gets no calls."""
         return endpoint.address.availability_zone in self._evacuated
 
     def _give_back(self, endpoint: Endpoint, started: InFlightCall) -> None:
@@ -766,10 +782,6 @@
             endpoint.probe_tokens = 0.0
             endpoint.probe_refilled_ms = now_ms
 
-    def _cost(self, endpoint: Endpoint, now_ms: float, need: CallNeed) -> float:
-        cost = endpoint.cost(self._typical_slowdown, now_ms)
-        return self.placement.weigh(cost, need, endpoint.address.distance_ms)
-
     def _spare_slots(self, now_ms: float) -> int:
         """Return the slots that a call that must not run twice leaves free at shared endpoints.
 
@@ -928,13 +940,13 @@
 
     def _is_trial_due(self, endpoint: Endpoint, now_ms: float) -> bool:
         is_ejected = endpoint.status is EndpointStatus.EJECTED
-        if not is_ejected or now_ms < endpoint.ejected_until_ms or self._is_evacuated(endpoint):
+        if not is_ejected or now_ms < endpoint.ejected_until_ms or self.is_evacuated(endpoint):
             return False
         return endpoint.gate.opens_in_ms(now_ms) == 0
 
     def _is_probe_trial_due(self, endpoint: Endpoint, now_ms: float) -> bool:
         is_ejected = endpoint.status is EndpointStatus.EJECTED
-        if not is_ejected or now_ms < endpoint.probe_due_ms or self._is_evacuated(endpoint):
+        if not is_ejected or now_ms < endpoint.probe_due_ms or self.is_evacuated(endpoint):
             return False
         return endpoint.gate.opens_in_ms(now_ms) == 0
 
@@ -958,7 +970,7 @@
         self._serving = [
             item
             for item in self.endpoint_by_id.values()
-            if item.is_serving and not self._is_evacuated(item)
+            if item.is_serving and not self.is_evacuated(item)
         ]
         for endpoint in self._serving:
             endpoint.gate.limit = self._share.slots(endpoint.address)
--- a/packages/cassiahaven-core/cassiahaven_core/service.py
+++ b/packages/cassiahaven-core/cassiahaven_core/service.py
@@ -158,7 +158,7 @@
             self.pool.record_probe_failure(endpoint, now_ms)
         else:
             self.pool.report_load(endpoint, report, now_ms)
-        need = self._need(call, now_ms, may_wait=False)
+        need = self.need(call, now_ms, may_wait=False)
         better = self.pool.move(endpoint, call.call_id, now_ms, excluded=tried, need=need)
         if better is None:
             return None
@@ -262,7 +262,7 @@
                 now_ms,
                 idempotent=call.idempotent,
                 excluded=call.tried,
-                need=self._need(call, now_ms, may_wait=not call.tried),
+                need=self.need(call, now_ms, may_wait=not call.tried),
             )
             if endpoint is None and self.pool.is_held_at_home:
                 # It waits for a slot of its zone, and calls behind it may run in another one.
@@ -312,7 +312,14 @@
                 effects.extend(self._refuse_all(RefusalReason.UPSTREAM_CLOSED))
         return effects
 
-    def _need(self, call: WaitingCall, now_ms: float, *, may_wait: bool) -> CallNeed:
+    def need(self, call: WaitingCall, now_ms: float, *, may_wait: bool) -> CallNeed:
+        """Return what the place of a call depends on.
+
+        Args:
+            call: The call.
+            now_ms: Current time, milliseconds.
+            may_wait: Whether it may wait for a slot of its own zone.
+        """
         return CallNeed(
             self.pool.typical_latency_ms(call.latency_class),
             max(0.0, call.target_at_ms - now_ms),
@@ -349,6 +356,10 @@
         ahead = self.admission.expected_calls_ahead(call.partner, call.priority)
         return ahead * self.pool.typical_latency_ms(call.latency_class) / slots
 
+    def expected_start_ms(self, call: WaitingCall, now_ms: float) -> float:
+        """Return the expected time until a waiting call is sent, milliseconds."""
+        return self._opens_in_ms(call, now_ms) + self._expected_wait_ms(call, now_ms)
+
     def _slots(self, latency_ms: float, now_ms: float) -> float:
         """Return how many calls of this entry run at a time."""
         slots = self.pool.usable_slots(latency_ms, now_ms)
--- a/packages/cassiahaven-entry/cassiahaven_entry/operator_api_base.py
+++ b/packages/cassiahaven-entry/cassiahaven_entry/operator_api_base.py
@@ -5,6 +5,7 @@
 from dataclasses import dataclass
 from http import HTTPStatus
 from typing import Any
+from urllib.parse import parse_qsl
 
 from cassiahaven_core.edge import StoreUnavailable
 from cassiahaven_core.explanation import Explanation
@@ -121,6 +122,10 @@
     def _effective(self, service: str, zone: str, partner: str) -> dict[str, Any]:
         """Return each effective value for a cell and the row that it comes from."""
 
+    def _where(self, query: dict[str, str]) -> Reply:
+        """Return where a call would go; only entries with routes can tell."""
+        return error_reply(HTTPStatus.NOT_FOUND, "this kind of entry has no routes")
+
     def _configuration_rows(self) -> dict[str, Any]:
         """Return the rows of the configuration that apply to all services, with their rollout."""
         return {}
@@ -138,6 +143,8 @@
                 return json_reply(self._names())
             case "GET", ["v1", "status"]:
                 return json_reply(self._status())
+            case "GET", ["v1", "where"]:
+                return self._where(dict(parse_qsl(environ.get("QUERY_STRING", ""))))
             case "GET", ["v1", "effective"]:
                 return json_reply(self._configuration_rows())
             case "GET", ["v1", "calls", call_id]:
--- a/packages/cassiahaven-entry/cassiahaven_entry/routed_node.py
+++ b/packages/cassiahaven-entry/cassiahaven_entry/routed_node.py
@@ -335,7 +335,7 @@
 
     def _answer_directory(self, environ: Environ) -> CallResponse:
         response = self._adapter.answer_directory(
-            environ, self._serving_entries, self.settings.address_lifetime_ms
+            environ, self.serving_entries, self.settings.address_lifetime_ms
         )
         if response.status != OK_STATUS:
             log(
@@ -348,7 +348,20 @@
             )
         return response
 
-    def _serving_entries(self, host: str, zone: str) -> list[Member]:
+    def ages_ms(self) -> dict[str, float]:
+        """Return the ages of what this entry knows of the store and of the other entries.
+
+        The view of the store, its own or a watcher's, bounds the age of routes, accounts, endpoints
+        and evacuations.
+        """
+        at_ms = now_ms()
+        ages = {"store": self.fleet.store.answer_age_ms(at_ms)}
+        for name, view in sorted(self.fleet.view_by_watcher.items()):
+            ages[f"watcher {name}"] = at_ms - view.last_message_ms
+        return ages
+
+    def serving_entries(self, host: str, zone: str) -> list[Member]:
+        """Return the entries that callers in ``zone`` are told to use."""
         # An entry that cannot serve yet, or no longer, still names others that do.
         unusable = self.fleet.starting(now_ms())
         if not self.is_ready:
@@ -358,7 +371,7 @@
     def serving_entry_names(self) -> set[str]:
         """Return the entries that callers of any availability zone use."""
         zones = self.settings.region_by_zone
-        return {member.name for zone in zones for member in self._serving_entries("", zone)}
+        return {member.name for zone in zones for member in self.serving_entries("", zone)}
 
     def live_names(self) -> set[str]:
         """Return the names of the entries that this one considers live."""
@@ -587,7 +600,7 @@
                 # Entries that are starting may have callers before all others know that they can.
                 for member in (
                     *self.fleet.serving_entries(zone, SERVING_ENTRY_CORES, now_ms()),
-                    *self._serving_entries("", zone),
+                    *self.serving_entries("", zone),
                 )
             }
         for task in self._task_by_service.values():
--- a/packages/cassiahaven-entry/cassiahaven_entry/routed_operators.py
+++ b/packages/cassiahaven-entry/cassiahaven_entry/routed_operators.py
@@ -12,6 +12,7 @@
 from cassiahaven_core.route import RouteRule
 from cassiahaven_core.store_version import NO_VERSION, StoreVersion
 from cassiahaven_core.table_codec import row_to_plain
+from cassiahaven_entry.call_placement import CallPlacement
 from cassiahaven_entry.caller_dialect import Environ
 from cassiahaven_entry.clock import boot_ms
 from cassiahaven_entry.operator_api_base import (
@@ -19,6 +20,7 @@
     BaseOperatorApi,
     Reply,
     endpoints_to_plain,
+    json_reply,
 )
 from cassiahaven_entry.routed_node import RoutedNode
 
@@ -185,6 +187,9 @@
             "endpoints": endpoints_to_plain(task.policy.pool),
         }
 
+    def _where(self, query: dict[str, str]) -> Reply:
+        return json_reply(CallPlacement(self._node, query).to_plain())
+
     def _find_explanation(self, call_id: str) -> Explanation | None:
         return self._node.calls.explanations.find(call_id)
 
--- a/packages/cassiahaven-entry/tests/test_fleet_links.py
+++ b/packages/cassiahaven-entry/tests/test_fleet_links.py
@@ -146,7 +146,7 @@
     node = SimpleNamespace(
         fleet=fleet, is_ready=is_ready, is_draining=False, settings=SimpleNamespace(name="a2")
     )
-    assert [item.name for item in RoutedNode._serving_entries(node, "", "a")] == named
+    assert [item.name for item in RoutedNode.serving_entries(node, "", "a")] == named
 
 
 def test_new_subscriber_can_apply_the_next_change(links):
