--- a/packages/cassiahaven-standins/cassiahaven_standins/platform_endpoint.py
+++ b/packages/cassiahaven-standins/cassiahaven_standins/platform_endpoint.py
@@ -16,6 +16,7 @@
 )
 from cassiahaven_standins.quiet_server import QuietServer
 
+POLL_S = 0.1
 MAX_FLOOD_S = 10.0
 DOWNLOAD_PREFIX = "/download/"
 DOWNLOAD_BYTES = 300_000
@@ -58,6 +59,7 @@
         rate_limits: Time and value of each rate limit that it named, empty for its end.
         limited_responses: Time and request id of each response that named a rate limit.
         is_leaving: Whether its responses say that it leaves.
+        starts: Number of times that it was stopped; connections from before are closed.
         cold_until_s: Until when its responses say that it is cold.
         retry_after: Value of ``Retry-After`` with which it rejects requests, then health checks
             too, empty for none.
@@ -86,6 +88,7 @@
         self.rate_limits: list[tuple[float, str]] = []
         self.limited_responses: list[tuple[float, str]] = []
         self.is_leaving = False
+        self.starts = 0
         self.cold_until_s = float("-inf")
         self.retry_after = ""
         self.closing_responses: list[tuple[float, str, str]] = []
@@ -114,9 +117,13 @@
     def setup(self) -> None:
         super().setup()
         self._write_lock = threading.Lock()
+        self._start = self.state.starts
 
     def handle_request(self) -> None:
         state = self.state
+        if self._start != state.starts:
+            self.close_connection = True
+            return
         body = self.read_body()
         endless_response = (
             state.endless_health_response if self.path == "/health" else state.endless_response
@@ -331,9 +338,13 @@
     ) -> None:
         self.state = state or EndpointState(endpoint, service)
         self.zone = zone
-        handler = type("Handler", (handler,), {"state": self.state})
-        self._server = QuietServer(("127.0.0.1", 0), handler)
-        threading.Thread(target=self._server.serve_forever, daemon=True).start()
+        self._handler = type("Handler", (handler,), {"state": self.state})
+        self._server = QuietServer(("127.0.0.1", 0), self._handler)
+        self._is_stopped = False
+        self._serve()
+
+    def _serve(self) -> None:
+        threading.Thread(target=self._server.serve_forever, args=(POLL_S,), daemon=True).start()
 
     @property
     def address(self) -> str:
@@ -355,7 +366,24 @@
             "born": 1700000000000,
         }
 
+    def stop(self) -> None:
+        """Refuse connections, and answer nothing on those that are open."""
+        self.state.starts += 1
+        address = self._server.server_address
+        self.close()
+        # The next server takes this socket over, so that no other process gets the port.
+        self._server = QuietServer(address, self._handler, bind_and_activate=False)
+        self._server.server_bind()
+        self._is_stopped = True
+
+    def start_again(self) -> None:
+        """Accept connections again after ``stop``."""
+        self._is_stopped = False
+        self._server.server_activate()
+        self._serve()
+
     def close(self) -> None:
         """Stop the server at once."""
-        self._server.shutdown()
+        if not self._is_stopped:
+            self._server.shutdown()
         self._server.server_close()
--- a/packages/cassiahaven-standins/cassiahaven_standins/platform_store.py
+++ b/packages/cassiahaven-standins/cassiahaven_standins/platform_store.py
@@ -25,6 +25,7 @@
     revision: int
     object_by_key: dict[tuple[str, str], dict[str, Any]]
     history: tuple[tuple[int, str, dict[str, Any], bool], ...]
+    compacted_revision: int
 
 
 class StoreState:
@@ -62,15 +63,35 @@
     def copy(self) -> "StoreCopy":
         """Return a copy of the objects, from which the store can be restored."""
         with self.lock:
-            return StoreCopy(self.revision, dict(self.object_by_key), tuple(self.history))
+            return self._copy_locked()
 
-    def restore(self, copy: "StoreCopy") -> None:
-        """Return to an earlier state: what was written since is gone, also its revisions."""
+    def _copy_locked(self) -> "StoreCopy":
+        return StoreCopy(
+            self.revision, dict(self.object_by_key), tuple(self.history), self.compacted_revision
+        )
+
+    def restore(self, copy: "StoreCopy") -> "StoreCopy":
+        """Return to an earlier state, and return the state that is lost.
+
+        What was written since the copy is gone, also its revisions.
+        """
         with self.lock:
+            lost = self._copy_locked()
+            self.compacted_revision = copy.compacted_revision
             self.revision = copy.revision
             self.object_by_key = dict(copy.object_by_key)
             self.history = deque(copy.history, maxlen=HISTORY_LENGTH)
             self.era = (self.era or 0) + 1
+            return lost
+
+    def changed_after(self, revision: int) -> set[tuple[str, str]]:
+        """Return kind and name of the objects that were written or removed after a revision."""
+        with self.lock:
+            return {
+                (kind, stored["metadata"]["name"])
+                for at_revision, kind, stored, _ in self.history
+                if at_revision > revision
+            }
 
     def put(self, kind: str, name: str, spec: Any) -> int:
         """Write an object and return the store's revision."""
