--- a/packages/cassiahaven-standins/cassiahaven_standins/platform_soak.py
+++ b/packages/cassiahaven-standins/cassiahaven_standins/platform_soak.py
@@ -237,6 +237,7 @@
         self._check_notices()
         self._check_accounts()
         self._check_zones()
+        self._count_kinds()
         return self.findings
 
     def _zone(self, number: int) -> str:
@@ -258,6 +259,17 @@
         while not self._stop.wait(rng.uniform(*KEY_GAP_S)):
             self._accounts.replace_key(rng, self._store_config)
 
+    def _count_kinds(self) -> None:
+        faults = self.findings.faults
+        if self._accounts is not None:
+            faults["revocation"] = len(self._accounts.revoked_s_by_key)
+        if self._cold_zones is not None:
+            faults["cold_endpoint"] = sum(map(len, self._cold_zones.periods_s_by_endpoint.values()))
+        if self._evacuations is not None:
+            faults["evacuation"] = len(self._evacuations.periods)
+        if self._restores is not None:
+            faults["restore"] = len(self._restores.periods_s)
+
     def _store_config(self) -> None:
         with self._config_lock:
             options = {}
--- a/tests/test_platform_soak.py
+++ b/tests/test_platform_soak.py
@@ -3,7 +3,7 @@
 import pytest
 
 from cassiahaven_standins.platform_fleet import platform_fleet
-from cassiahaven_standins.platform_soak import ENTRIES, Soak
+from cassiahaven_standins.platform_soak import ENTRIES, SOAK_BOUNDS, Soak, SoakKind
 
 # Seeds that have failed are kept as regression tests, each with the cause of its failure.
 SEEDS = [
@@ -22,3 +22,13 @@
         findings = Soak(fleet, seed).run(seconds)
     assert findings.violations == []
     assert sum(item.status == 200 for item in findings.sent) > 100
+
+
+def test_invariants_hold_with_accounts_cold_and_evacuated_zones_and_a_restored_store(tmp_path):
+    # Guards against faults that show only when these are combined.
+    kinds = frozenset(SoakKind)
+    with platform_fleet(tmp_path, entries=ENTRIES, has_proxies=True, bounds=SOAK_BOUNDS) as fleet:
+        findings = Soak(fleet, 4001, kinds=kinds).run(8.0)
+    assert findings.violations == []
+    statuses = [item.status for item in findings.sent]
+    assert min(statuses.count(status) for status in (200, 401, 429)) > 50
