--- a/tests/test_configuration_rows.py
+++ b/tests/test_configuration_rows.py
@@ -15,6 +15,7 @@
 from cassiahaven_platform.objects import decode_config
 from cassiahaven_standins.platform_fleet import platform_fleet
 
+ACCOUNT_COLUMNS = ["name", "apiKeys"]
 COLUMNS = [
     *("name", "hostname", "pathPrefix", "kind", "timeout"),
     *("targetLatency", "priority", "maxAttempts", "service", "trafficSplit"),
@@ -212,3 +213,27 @@
         assert "cassiahaven_rejected_rows 1.0" in metrics
         status_body = entry.http_get(entry.operator_port, "/v1/status")[1]
         assert json.loads(status_body)["configuration"]["rejected"][0]["row"] == "odd"
+
+
+@pytest.mark.parametrize("keys", ["sesame", {"sesame": 1}, [31337], [["sesame"]], [""], 31337])
+def test_unreadable_keys_work_in_part_or_are_reported(keys):
+    # The letters of a text, for instance, would each be a key.
+    plain = spec(route_row("a"))
+    plain["tenants"] = {"columns": ACCOUNT_COLUMNS, "rows": [["ada", keys], ["bob", ["b-key"]]]}
+    config = decode(plain)
+    assert [account.name for account in config.accounts] == ["bob"]
+    (rejected,) = config.rejected
+    assert rejected.table is ConfigTable.ACCOUNTS
+    assert "sesame" not in rejected.finding
+    assert "31337" not in rejected.finding
+
+
+def test_finding_on_an_account_quotes_a_key_in_another_cell():
+    plain = spec(route_row("a"))
+    plain["tenants"] = {
+        "columns": [*ACCOUNT_COLUMNS, "priority"],
+        "rows": [["ada", ["k"], ["sesame"]]],
+    }
+    (rejected,) = decode(plain).rejected
+    assert "sesame" not in rejected.finding
+    assert "priority" in rejected.finding
