Let the only watcher of a deployment use its shares of usage caps

An entry joins the exchange of claims when a watcher confirms that it knows all claims. A watcher gets this from the other watchers, of which there is at most one in each availability zone. In a deployment with one zone, or of one entry, nobody confirmed, and that watcher admitted no more than its allowance: 155 of 1000 calls in 5 s at 200 calls/s, for a cap of 1000 calls/s.

The only watcher confirms its own claims once it has been that, in contact and without a pause, for MAJORITY_MS and a window: entries that follow it have reported to it by then, and the calls of all others have left the window. Then it admits 1000 of 1000. After a suspension of 4 s it starts anew with the allowance.

--- a/packages/cassiahaven-entry/cassiahaven_entry/usage_exchange.py
+++ b/packages/cassiahaven-entry/cassiahaven_entry/usage_exchange.py
@@ -10,6 +10,7 @@
 from cassiahaven_core.peer_message import PeerMessage, UsageClaims, UsageJoined, UsageNews
 from cassiahaven_core.usage_cap import (
     CLAIM_HOLD_MS,
+    MAJORITY_MS,
     Admitted,
     CapDecision,
     CapState,
@@ -23,6 +24,7 @@
 TICK_MS = 50.0
 FORWARD_MS = 100.0
 GIVEN_BACK = "given-back"
+TICK_GAP_MS = 500.0  # after a longer pause, it is not known that contact was kept
 
 
 class _Episode:
@@ -70,6 +72,8 @@
         self._send_to = send_to
         self._metrics = metrics
         self._heard_ms = float("-inf")
+        self._ticked_ms = float("-inf")
+        self._sole_since_ms: float | None = None
         self._claimant_ms_by_connection: dict[str, float] = {}
         self._name_by_connection: dict[str, str] = {}
         self._pending_by_process: dict[str, Claims] = {}
@@ -115,6 +119,8 @@
         if claims is not None:
             self._send(UsageClaims([claims]))
             self._add_pending(claims)
+            if self._is_settled_sole_watcher(at_ms):
+                self.caps.confirm_join(claims.number, at_ms)
         if at_ms - self._forwarded_ms >= FORWARD_MS:
             self._forwarded_ms = at_ms
             self._forward(at_ms)
@@ -168,8 +174,15 @@
 
     def _update_contact(self, at_ms: float) -> None:
         fleet = self._fleet
-        if any(member.name == fleet.own.name for member in fleet.watchers()):
+        watchers = [member.name for member in fleet.watchers()]
+        if fleet.own.name in watchers:
             self._heard_ms = at_ms
+        has_paused = at_ms - self._ticked_ms > TICK_GAP_MS
+        self._ticked_ms = at_ms
+        if watchers != [fleet.own.name] or has_paused or not self.caps.is_in_contact(at_ms):
+            self._sole_since_ms = None
+        elif self._sole_since_ms is None:
+            self._sole_since_ms = at_ms
         live = len(fleet.live_names(now_ms()))
         self.caps.set_contact(
             heard_ms=self._heard_ms,
@@ -178,6 +191,15 @@
         )
         self.caps.set_named(self._named())
 
+    def _is_settled_sole_watcher(self, at_ms: float) -> bool:
+        """Return whether this entry is the only watcher and knows the claims of all others.
+
+        No other watcher can confirm that it joins. Entries that do not follow it stop within
+        ``MAJORITY_MS``, as it sees the majority, and their calls then leave the window.
+        """
+        settle_ms = MAJORITY_MS + self.caps.window_ms
+        return self._sole_since_ms is not None and at_ms - self._sole_since_ms >= settle_ms
+
     def _add_pending(self, claims: Claims) -> None:
         before = self._pending_by_process.get(claims.process)
         if before is not None:
--- a/packages/cassiahaven-entry/tests/test_usage_exchange.py
+++ b/packages/cassiahaven-entry/tests/test_usage_exchange.py
@@ -22,7 +22,15 @@
 from cassiahaven_core.reason import RefusalReason
 from cassiahaven_core.route import GatewayConfig, Route, RoutingTable, ServiceShare
 from cassiahaven_core.routed_settings import UsageCapBounds
-from cassiahaven_core.usage_cap import Admitted, Capped, CapState, Claim, Claims, UsageCaps
+from cassiahaven_core.usage_cap import (
+    MAJORITY_MS,
+    Admitted,
+    Capped,
+    CapState,
+    Claim,
+    Claims,
+    UsageCaps,
+)
 from cassiahaven_entry.call import Finished
 from cassiahaven_entry.clock import boot_ms, now_ms
 from cassiahaven_entry.fleet_links import FleetLinks, LinkCallbacks, StateRequestPacer, WatcherLink
@@ -159,6 +167,30 @@
     assert sent == []
 
 
+def test_sole_watcher_never_joins_or_joins_before_it_knows_all_claims(clock):
+    own = Member("a1", "a1-1", "a", "", "")
+    fleet = Fleet(own)
+    fleet.set_members([own])
+    exchange = make_exchange("a1", fleet, send=lambda message: None)
+
+    def admitted(duration_ms):
+        """Return how many of 200 calls a second are admitted."""
+        count = 0
+        for _ in range(int(duration_ms / 5)):
+            exchange.tick()
+            count += isinstance(exchange.check("large"), Admitted)
+            clock.advance_ms(5)
+        return count
+
+    allowance = 0.75 * 620 / 3
+    settle_ms = MAJORITY_MS + BOUNDS.window_ms
+    assert admitted(settle_ms) <= 2 * allowance
+    admitted(1000)
+    assert admitted(5000) == 1000
+    clock.advance_ms(4000)  # the VM was suspended
+    assert admitted(5000) <= allowance
+
+
 @pytest.fixture
 def calls():
     """Return the calls of an entry whose account is the name of its route."""
