--- a/packages/cassiahaven-core/tests/test_usage_cap.py
+++ b/packages/cassiahaven-core/tests/test_usage_cap.py
@@ -2,6 +2,7 @@
 
 import pytest
 
+from cassiahaven_core.routed_settings import UsageCapBounds
 from cassiahaven_core.usage_cap import (
     CLAIM_HOLD_MS,
     JOIN_MS,
@@ -173,6 +174,59 @@
         assert decision.retry_after_ms < 1500
 
 
+@pytest.mark.parametrize("usual_per_s", [2, 20, 62])
+@pytest.mark.parametrize("entries", [(0,), NAMED])
+def test_calls_that_did_not_run_use_up_the_cap(usual_per_s, entries):
+    run = replay(usual_per_s)
+    run.not_run_share = 0.5
+    run.calls(0.9 * run.quota() / 5, entries, START_MS, 21_000)
+    run.run(21_000)
+    # Poisson loads of small accounts exceed their caps in some windows.
+    assert len(run.refused) <= (0.01 if usual_per_s > 2 else 0.05) * len(run.asked["account"])
+    assert run.excess() <= 0
+
+
+def test_given_back_calls_let_a_hot_account_exceed_its_cap():
+    run = replay(20)
+    run.not_run_share = 0.5
+    run.calls(140, NAMED, START_MS, 21_000)
+    run.run(21_000)
+    assert run.excess() <= 0
+    served = sum(10_000 <= at_ms < 20_000 for at_ms in run.admitted["account"])
+    assert served >= 0.9 * 2 * run.quota()
+
+
+def test_calls_given_back_before_a_confirmation_are_used_by_both_entries():
+    # Without the least of the reported totals, both together admit 126.
+    capped = account(20, 20)
+    pair = [UsageCaps(name, f"{name}-1", UsageCapBounds(5000.0, 0.0, 0.0)) for name in "ab"]
+    for caps in pair:
+        caps.set_accounts([capped])
+    held = [[], []]
+    most = 0
+    for at_ms in range(0, 3000, 10):
+        for caps, admitted in zip(pair, held, strict=True):
+            caps.set_contact(heard_ms=at_ms, has_majority=True, now_ms=at_ms)
+            decision = caps.admit("account", at_ms)
+            if isinstance(decision, Admitted):
+                admitted.append(decision)
+        if at_ms % 100 == 0:
+            to_b, to_a = (caps.own_claims(at_ms) for caps in pair)
+            if to_b is not None:
+                pair[1].apply_claims(to_b, at_ms)
+            if to_a is not None and at_ms <= 2000:
+                pair[0].apply_claims(to_a, at_ms)
+            for caps in pair:
+                caps.confirm_join(pair[0]._number + pair[1]._number, at_ms)
+        if at_ms == 2050:
+            for decision in held[0]:
+                pair[0].give_back("account", decision)
+            held[0].clear()
+        most = max(most, sum(map(len, held)))
+    assert len(held[0]) > 0
+    assert most <= 120
+
+
 @pytest.fixture
 def caps():
     made = UsageCaps("a", "a-1", BOUNDS)
--- a/packages/cassiahaven-entry/cassiahaven_entry/usage_exchange.py
+++ b/packages/cassiahaven-entry/cassiahaven_entry/usage_exchange.py
@@ -8,13 +8,23 @@
 
 from cassiahaven_core.membership import Fleet
 from cassiahaven_core.peer_message import PeerMessage, UsageClaims, UsageJoined, UsageNews
-from cassiahaven_core.usage_cap import CLAIM_HOLD_MS, Admitted, Capped, Claims, UsageCaps
+from cassiahaven_core.usage_cap import (
+    CLAIM_HOLD_MS,
+    MAJORITY_MS,
+    Admitted,
+    CapDecision,
+    CapState,
+    Claims,
+    UsageCaps,
+)
 from cassiahaven_entry.clock import MS_PER_S, boot_ms, now_ms
 from cassiahaven_entry.event import LogEvent, log
 from cassiahaven_entry.metrics import Metrics
 
 TICK_MS = 50.0
 FORWARD_MS = 100.0
+GIVEN_BACK = "given-back"
+TICK_GAP_MS = 500.0  # after a longer pause, it is not known that contact was kept
 
 
 class _Episode:
@@ -62,6 +72,8 @@
         self._send_to = send_to
         self._metrics = metrics
         self._heard_ms = float("-inf")
+        self._ticked_ms = float("-inf")
+        self._sole_since_ms: float | None = None
         self._claimant_ms_by_connection: dict[str, float] = {}
         self._name_by_connection: dict[str, str] = {}
         self._pending_by_process: dict[str, Claims] = {}
@@ -69,13 +81,13 @@
         self._episode_by_account: dict[str, _Episode] = {}
         metrics.usage_claims_age.set_function(lambda: caps.oldest_claim_ms(boot_ms()) / MS_PER_S)
 
-    def check(self, account: str) -> Capped | None:
-        """Count a call of ``account``, and return its refusal if it exceeds the cap."""
+    def check(self, account: str) -> CapDecision:
+        """Return whether a call of ``account`` may be sent, and count it if so."""
         at_ms = boot_ms()
         decision = self.caps.admit(account, at_ms)
         self._metrics.usage_cap_calls.labels(decision.state.value).inc()
         if isinstance(decision, Admitted):
-            return None
+            return decision
         episode = self._episode_by_account.get(account)
         if episode is None:
             episode = self._episode_by_account[account] = _Episode(at_ms)
@@ -84,6 +96,12 @@
         episode.last_ms = at_ms
         return decision
 
+    def give_back(self, account: str, admitted: Admitted) -> None:
+        """Stop counting an admitted call that did not run."""
+        if admitted.state is not CapState.UNLIMITED:
+            self.caps.give_back(account, admitted)
+            self._metrics.usage_cap_calls.labels(GIVEN_BACK).inc()
+
     def run(self) -> None:
         """Send and forward claims until the process ends."""
         while True:
@@ -101,6 +119,8 @@
         if claims is not None:
             self._send(UsageClaims([claims]))
             self._add_pending(claims)
+            if self._is_settled_sole_watcher(at_ms):
+                self.caps.confirm_join(claims.number, at_ms)
         if at_ms - self._forwarded_ms >= FORWARD_MS:
             self._forwarded_ms = at_ms
             self._forward(at_ms)
@@ -154,8 +174,15 @@
 
     def _update_contact(self, at_ms: float) -> None:
         fleet = self._fleet
-        if any(member.name == fleet.own.name for member in fleet.watchers()):
+        watchers = [member.name for member in fleet.watchers()]
+        if fleet.own.name in watchers:
             self._heard_ms = at_ms
+        has_paused = at_ms - self._ticked_ms > TICK_GAP_MS
+        self._ticked_ms = at_ms
+        if watchers != [fleet.own.name] or has_paused or not self.caps.is_in_contact(at_ms):
+            self._sole_since_ms = None
+        elif self._sole_since_ms is None:
+            self._sole_since_ms = at_ms
         live = len(fleet.live_names(now_ms()))
         self.caps.set_contact(
             heard_ms=self._heard_ms,
@@ -164,6 +191,15 @@
         )
         self.caps.set_named(self._named())
 
+    def _is_settled_sole_watcher(self, at_ms: float) -> bool:
+        """Return whether this entry is the only watcher and knows the claims of all others.
+
+        No other watcher can confirm that it joins. Entries that do not follow it stop within
+        ``MAJORITY_MS``, as it sees the majority, and their calls then leave the window.
+        """
+        settle_ms = MAJORITY_MS + self.caps.window_ms
+        return self._sole_since_ms is not None and at_ms - self._sole_since_ms >= settle_ms
+
     def _add_pending(self, claims: Claims) -> None:
         before = self._pending_by_process.get(claims.process)
         if before is not None:
