Keep the slot limit while single calls vary

The limit was decided by one threshold on two averages that vary by some 10 %, so it ended and began anew within a long overload, and each time the last slots were filled again. It now ends only below a second, lower threshold.

--- a/packages/cassiahaven-core/cassiahaven_core/slot_limit.py
+++ b/packages/cassiahaven-core/cassiahaven_core/slot_limit.py
@@ -8,6 +8,8 @@
 MIN_SAMPLES = 20
 # At 1.5, two of three slots reach the throughput of all three; below that, they answer sooner.
 SLOWDOWN_THRESHOLD = 1.3
+# Both averages vary by some 10 % between single calls, which must not lift the limit.
+RECOVERY_THRESHOLD = 1.15
 DECAY_PER_CALL = 0.0005  # retries the last slots after a few thousand calls
 
 
@@ -18,12 +20,13 @@
     fewer calls, and later, than leaving the last slots empty.
     """
 
-    __slots__ = ("_normal_ratio", "_nearly_full_ratio", "_calls")
+    __slots__ = ("_normal_ratio", "_nearly_full_ratio", "_calls", "_is_reduced")
 
     def __init__(self) -> None:
         self._normal_ratio = 1.0
         self._nearly_full_ratio = 1.0
         self._calls = 0
+        self._is_reduced = False
 
     @property
     def factor(self) -> float:
@@ -41,9 +44,11 @@
             self._nearly_full_ratio += DECAY_PER_CALL * (
                 self._normal_ratio - self._nearly_full_ratio
             )
+        threshold = RECOVERY_THRESHOLD if self._is_reduced else SLOWDOWN_THRESHOLD
+        self._is_reduced = self.factor >= threshold
 
     def limit(self, slots: int) -> int:
         """Return how many of ``slots`` to use."""
-        if self.factor < SLOWDOWN_THRESHOLD:
+        if not self._is_reduced:
             return slots
         return max(1, math.floor(slots * NEARLY_FULL_SHARE))
--- a/packages/cassiahaven-core/tests/test_full_endpoints.py
+++ b/packages/cassiahaven-core/tests/test_full_endpoints.py
@@ -8,6 +8,7 @@
 from cassiahaven_core.endpoint import CallResult, LoadReport
 from cassiahaven_core.lifecycle import EndpointStatus
 from cassiahaven_core.pool import FULL_RECHECK_SHARE, Pool
+from cassiahaven_core.slot_limit import SLOWDOWN_THRESHOLD, AdaptiveSlotLimit
 
 [SURGE] = [item for item in SCENARIOS if item.name == "surge"]
 
@@ -74,3 +75,18 @@
         replay.loop.call_at(float(at_ms), look)
     replay.run()
     assert limits.count(2) > 0.9 * len(limits)
+
+
+def test_slot_limit_is_not_lifted_by_a_few_fast_calls():
+    """Guards against a limit that ends and begins anew with the variation between single calls."""
+    limit = AdaptiveSlotLimit()
+    for _ in range(100):
+        limit.learn(1.0, is_nearly_full=False)
+        limit.learn(1.4, is_nearly_full=True)
+    for _ in range(8):
+        limit.learn(1.0, is_nearly_full=True)
+    assert limit.factor < SLOWDOWN_THRESHOLD
+    assert limit.limit(3) == 2
+    for _ in range(30):
+        limit.learn(1.0, is_nearly_full=True)
+    assert limit.limit(3) == 3
