Do not send payments unprobed to endpoints that were full lately

The last probe that a call may cost can move it to another endpoint, which is not probed, so its report from before was not looked at. A call that must not run twice is now placed again if that report, younger than twice a call's time, left no slot.

--- a/packages/cassiahaven-core/cassiahaven_core/pool.py
+++ b/packages/cassiahaven-core/cassiahaven_core/pool.py
@@ -302,13 +302,20 @@
         """
         endpoint = self.endpoint_by_id.get(name)
         started = endpoint.in_flight_by_call_id.get(call_id) if endpoint is not None else None
-        if started is None or endpoint.reported_at_ms < started.at_ms:
+        if started is None:
             return False
+        latency_ms = self.typical_latency_ms(started.partner)
         spare = 0 if idempotent else self._spare_slots(now_ms)
-        if not self._is_full(endpoint, now_ms, spare=spare, counted=1):
+        if endpoint.reported_at_ms >= started.at_ms:
+            is_full = self._is_full(endpoint, now_ms, spare=spare, counted=1)
+        else:
+            # The last probe may have moved the call on to an endpoint that was not probed since.
+            is_recent = now_ms - endpoint.reported_at_ms < 2 * latency_ms
+            is_full = not idempotent and is_recent and self._was_full(endpoint, spare=spare)
+        if not is_full:
             return False
         # About the time until some of its calls end; asking earlier would only cost probes.
-        recheck_ms = self.typical_latency_ms(started.partner) * FULL_RECHECK_SHARE
+        recheck_ms = latency_ms * FULL_RECHECK_SHARE
         endpoint.gate.full_until_ms = now_ms + recheck_ms
         return True
 
@@ -801,6 +808,12 @@
             return not self.placement.has_spare_slot(taken, most)
         return others >= 1 - FULL_TOLERANCE_SLOTS and taken + 1 > most + FULL_TOLERANCE_SLOTS
 
+    def _was_full(self, endpoint: Endpoint, *, spare: int) -> bool:
+        """Return whether an endpoint had no slot for a counted call if no call ended since then."""
+        taken = endpoint.in_flight - 1 + endpoint.others_in_flight
+        most = self._slot_limit.limit(endpoint.address.slots)
+        return endpoint.others_in_flight > 0 and taken + 1 > max(1, most - spare)
+
     def _tie_break(self) -> float:
         return 1 + TIE_BREAK * self._rng.random()
 
--- a/packages/cassiahaven-core/tests/test_full_endpoints.py
+++ b/packages/cassiahaven-core/tests/test_full_endpoints.py
@@ -90,3 +90,15 @@
     for _ in range(30):
         limit.learn(1.0, is_nearly_full=True)
     assert limit.limit(3) == 3
+
+
+def test_payment_does_not_go_unprobed_to_an_endpoint_that_was_full_lately(make_policy, make_call):
+    """Guards against the last probe of a call moving it to an endpoint that resets it."""
+    policy = make_policy(endpoints=1, slots=3)
+    policy.pool.typical_latency_ms_by_partner["parish"] = 100.0
+    policy.pool.report_load("e0", LoadReport(3), 0.0)
+    endpoint = policy.pool.endpoint_by_id["e0"]
+    policy.pool.start(endpoint, "payment", "parish", 90.0)
+    assert policy.pool.was_found_full("e0", "payment", 90.0, idempotent=False)
+    assert not policy.pool.was_found_full("e0", "payment", 90.0, idempotent=True)
+    assert not policy.pool.was_found_full("e0", "payment", 400.0, idempotent=False)
