Give calls back to the usage cap whose callers left before they were sent

A call whose caller disconnected while it waited for its service counted against its account's cap for 5 s, though no endpoint had got it: callers that leave early cost an account calls below its cap.

Such a call is given back unless an attempt to send it has begun. A call whose first attempt was refused stays counted if its caller leaves then. The test failed before for the call that was not sent.

--- a/packages/cassiahaven-entry/cassiahaven_entry/attempts.py
+++ b/packages/cassiahaven-entry/cassiahaven_entry/attempts.py
@@ -210,6 +210,7 @@
     def _attempt(
         self, call: Call, task: ServiceTask, address: EndpointAddress, tried: frozenset[str]
     ) -> Finished | SendFailed:
+        call.is_sent = True
         call.note("sent", f"{address.endpoint} in {address.availability_zone}")
         task.policy.pool.mark_sent(address.endpoint, call.call_id)
         if task.policy.pool.is_rate_limited(address.endpoint):
--- a/packages/cassiahaven-entry/cassiahaven_entry/call.py
+++ b/packages/cassiahaven-entry/cassiahaven_entry/call.py
@@ -22,9 +22,18 @@
 
     Attributes:
         account: Client account of the call, ``None`` if calls belong to no accounts.
+        is_sent: Whether an attempt to send it has begun.
     """
 
-    __slots__ = ("request", "service", "waiting", "account", "fingerprint", "explanation")
+    __slots__ = (
+        "request",
+        "service",
+        "waiting",
+        "account",
+        "is_sent",
+        "fingerprint",
+        "explanation",
+    )
 
     def __init__(
         self,
@@ -37,6 +46,7 @@
         self.request = request
         self.service = service
         self.account = account
+        self.is_sent = False
         self.fingerprint = request_fingerprint(
             service, waiting.partner, request.method, request.target, request.body
         )
--- a/packages/cassiahaven-entry/cassiahaven_entry/routed_calls.py
+++ b/packages/cassiahaven-entry/cassiahaven_entry/routed_calls.py
@@ -112,6 +112,8 @@
                 call, task, check=lambda call: self._check_again(call, route)
             )
         except CallerLeft:
+            if not call.is_sent:
+                self._give_back(account, decision)
             self._record_end(call, route, "caller-left")
             raise
         except Exception as error:
--- a/packages/cassiahaven-entry/tests/test_usage_exchange.py
+++ b/packages/cassiahaven-entry/tests/test_usage_exchange.py
@@ -1,5 +1,6 @@
 """Usage claims between the entries of a fleet, and the refusal of calls beyond a cap."""
 
+from contextlib import suppress
 from types import SimpleNamespace
 
 import pytest
@@ -32,6 +33,7 @@
     UsageCaps,
 )
 from cassiahaven_entry.call import Finished
+from cassiahaven_entry.caller_connection import CallerLeft
 from cassiahaven_entry.clock import boot_ms, now_ms
 from cassiahaven_entry.fleet_links import FleetLinks, LinkCallbacks, StateRequestPacer, WatcherLink
 from cassiahaven_entry.metrics import Metrics
@@ -254,6 +256,26 @@
     assert (429 in statuses) == isinstance(finished.outcome, Ran)
 
 
+@pytest.mark.parametrize("is_sent", [False, True])
+def test_call_whose_caller_left_while_it_waited_counts_against_the_cap(calls, is_sent):
+    made, _ = calls
+    made._usage.tick()
+
+    def leave(call, task, check):
+        call.is_sent = is_sent
+        raise CallerLeft
+
+    made._attempts = SimpleNamespace(run=leave)
+    headers = (("Authorization", f"Bearer {KEY}"),)
+    for _ in range(20):
+        request = CallRequest(
+            "", "GET", "/", headers, b"", KEY, None, None, host="host", arrived_ms=now_ms()
+        )
+        with suppress(CallerLeft):
+            made.run(request)
+    assert (made._usage.caps.used("small", boot_ms()) > 0) == is_sent
+
+
 def test_refusal_for_another_reason_becomes_a_429():
     callers = PlatformCallers(RoutingTable())
     for reason in RefusalReason:
