--- a/packages/cassiahaven-standins/cassiahaven_standins/platform_soak.py
+++ b/packages/cassiahaven-standins/cassiahaven_standins/platform_soak.py
@@ -2,7 +2,8 @@
 
 ``python -m cassiahaven_standins.platform_soak --seed 7 --seconds 20`` prints a JSON line: the
 injected faults, the calls by status, and the violated guarantees. It exits with status 1 if any
-guarantee was violated.
+guarantee was violated. Seeds from 4001 also draw kinds of loads and faults: client accounts, cold
+zones, evacuated zones and a store that comes back from an older copy.
 """
 
 import json
