Give groups of half of the entries or less a share of cold endpoints

An entry had a share of the calls to cold endpoints only in a group of more than half of the registered entries. While 55 % are killed, nobody had one, and a group of a third had none while it was cut off. Shares then grew only 1.5 s later.

A group of more than a quarter of the entries now divides what the overage leaves beside a group of more than half: half of what an endpoint bears for an overage of 1.5, from at most coldSlack / 4 entries. There can be three such groups, or one beside a larger one. The takeover time is 1 s. The simulated fleet follows other watchers instead of unreachable ones and closes connections to killed entries, as entries do.

--- a/packages/cassiahaven-core/cassiahaven_core/cold_start.py
+++ b/packages/cassiahaven-core/cassiahaven_core/cold_start.py
@@ -5,14 +5,20 @@
 from collections import deque
 from collections.abc import Iterable, Mapping
 from dataclasses import dataclass, field
+from enum import Enum
 
 from cassiahaven_core.membership import REPORT_TIMEOUT_MS, Fleet
 from cassiahaven_core.rate_limit import MS_PER_S, NEAR_WEIGHT
 from cassiahaven_core.registry import Registration
 
-# An entry that lost contact notices within ``REPORT_TIMEOUT_MS``, give or take a report interval of
-# 500 ms. Others take over its share a second later, so that no second has calls of both.
-TAKEOVER_MS = REPORT_TIMEOUT_MS
+# An entry that lost contact notices 1.0 to 1.75 s later: ``REPORT_TIMEOUT_MS`` after the last
+# message of a watcher, less a report interval of 500 ms, and a computation of shares every 250 ms.
+# Its watchers notice after 1.0 s at the earliest, so this time separates old and new shares.
+TAKEOVER_MS = 1000.0
+# More than a quarter of the entries: at most three groups without contact to each other have that
+# many, or one beside a group of more than half.
+MINOR_GROUP_SHARE = 1 / 4
+MAX_MINOR_GROUPS = 3
 # Shares are computed every 250 ms; one that is older belongs to an entry that was frozen.
 SHARE_LIFETIME_MS = 1000.0
 MAX_CLOCK_LEAD_MS = 60_000.0  # a start further in the future says nothing about its age
@@ -25,13 +31,21 @@
     return float(value) if _WHOLE_MS.fullmatch(value.strip()) else None
 
 
-def has_contact(fleet: Fleet, now_ms: float) -> bool:
-    """Return whether some watcher sees this entry among more than half of the registered ones.
+class Contact(Enum):
+    """How many of the registered entries the group of an entry has."""
 
-    Two groups of entries without contact to each other cannot both have it.
+    NONE = "none"
+    MINOR = "minor"  # more than ``MINOR_GROUP_SHARE``
+    MAJOR = "major"  # more than half
+
+
+def contact_of(fleet: Fleet, now_ms: float) -> Contact:
+    """Return the size of the largest group in which some watcher sees this entry.
+
+    Two groups of entries without contact to each other cannot both have more than half.
     """
     if not fleet.has_members:
-        return False
+        return Contact.NONE
     members = fleet.member_by_name.keys()
     groups = [frozenset(fleet.own_subscribers(now_ms))]
     groups += [
@@ -39,9 +53,10 @@
         for view in fleet.view_by_watcher.values()
         if now_ms - view.last_message_ms < REPORT_TIMEOUT_MS
     ]
-    return any(
-        fleet.own.name in group and 2 * len(group & members) > len(members) for group in groups
-    )
+    largest = max(len(group & members) for group in groups if fleet.own.name in group)
+    if largest > len(members) / 2:
+        return Contact.MAJOR
+    return Contact.MINOR if largest > len(members) * MINOR_GROUP_SHARE else Contact.NONE
 
 
 @dataclass(frozen=True, slots=True)
@@ -66,35 +81,40 @@
     """Derive this entry's share from the entries that serve callers.
 
     A share shrinks at once and grows ``TAKEOVER_MS`` later, when the entries that had it before
-    have noticed that they lost it. An entry without contact to the fleet has none, except in a
-    fleet so small that a call of each entry fits into the slack.
+    have noticed that they lost it. A group of more than a quarter of the entries, as is left when
+    many are killed, divides what the overage leaves beside a group of more than half. Smaller
+    groups have no share, except in a fleet so small that a call of each entry fits into the slack.
 
     Args:
         name: Name of this entry.
         zones: All availability zones.
         slack: Calls a second that a cold endpoint may get beyond what it bears.
+        overage: How many times the calls a second that it bears all entries may send on average.
     """
 
-    __slots__ = ("_name", "_zones", "_slack", "_history_by_zone", "_updated_ms")
+    __slots__ = ("_name", "_zones", "_slack", "_minor", "_history_by_zone", "_updated_ms")
 
-    def __init__(self, name: str, zones: Iterable[str], slack: float) -> None:
+    def __init__(
+        self, name: str, zones: Iterable[str], slack: float, *, overage: float = 1.0
+    ) -> None:
         self._name = name
         self._zones = (ANY_OTHER_ZONE, *zones)
         self._slack = slack
+        self._minor = max(0.0, min(overage - 1, overage / MAX_MINOR_GROUPS))
         self._history_by_zone: dict[str, deque[tuple[float, float]]] = {
             zone: deque() for zone in self._zones
         }
         self._updated_ms = -math.inf
 
     def update(
-        self, zone_by_name: Mapping[str, str], *, members: int, is_in_contact: bool, now_ms: float
+        self, zone_by_name: Mapping[str, str], *, members: int, contact: Contact, now_ms: float
     ) -> ColdShare:
         """Return the share of this entry.
 
         Args:
             zone_by_name: Zones of the entries that serve callers.
             members: Number of registered entries.
-            is_in_contact: Whether this entry has contact to the fleet.
+            contact: Size of the group with which this entry has contact.
             now_ms: Current time, milliseconds.
         """
         if now_ms - self._updated_ms > SHARE_LIFETIME_MS:
@@ -107,22 +127,24 @@
         for zone in self._zones:
             share = 0.0
             if self._name in zone_by_name:
-                if is_in_contact:
-                    share = self._share(zone, zone_by_name)
+                if contact is Contact.MAJOR:
+                    share = self._share(zone, zone_by_name, self._slack / 2)
                 elif members <= self._slack:
                     share = 1 / max(1, members)
+                elif contact is Contact.MINOR:
+                    share = self._minor * self._share(zone, zone_by_name, self._slack / 4)
             shares[zone] = _smallest_recent(self._history_by_zone[zone], share, now_ms)
         return ColdShare(shares, now_ms + SHARE_LIFETIME_MS)
 
-    def _share(self, zone: str, zone_by_name: Mapping[str, str]) -> float:
+    def _share(self, zone: str, zone_by_name: Mapping[str, str], senders: float) -> float:
         # Each sender may add one call to any second, beside its rate: half of the slack is for
-        # these, the rest for calls that were sent late.
-        most = max(1, int(self._slack / 2))
+        # these, a quarter for each minor group, the rest for calls that were sent late.
+        most = max(1, int(senders))
         near = sorted(name for name, item in zone_by_name.items() if item == zone)
-        senders = sorted(zone_by_name) if len(zone_by_name) <= most or not near else near
-        if self._name not in senders[:most]:
+        names = sorted(zone_by_name) if len(zone_by_name) <= most or not near else near
+        if self._name not in names[:most]:
             return 0.0
-        weights = {name: NEAR_WEIGHT if name in near else 1.0 for name in senders[:most]}
+        weights = {name: NEAR_WEIGHT if name in near else 1.0 for name in names[:most]}
         return weights[self._name] / sum(weights.values())
 
 
--- a/packages/cassiahaven-core/tests/test_cold_start.py
+++ b/packages/cassiahaven-core/tests/test_cold_start.py
@@ -5,7 +5,7 @@
 import pytest
 
 from cassiahaven_core.admission import Admission, WaitingCall
-from cassiahaven_core.cold_start import ColdListings, ColdShare, ColdShares, parse_cold_ms
+from cassiahaven_core.cold_start import ColdListings, ColdShare, ColdShares, Contact, parse_cold_ms
 from cassiahaven_core.endpoint import CallResult
 from cassiahaven_core.lifecycle import EndpointEvent
 from cassiahaven_core.pool import Pool
@@ -43,6 +43,15 @@
     assert fleet.sent_between(15_000.0, END_MS) >= PER_S * 0.3
 
 
+@pytest.mark.parametrize("fault", ["55 % are killed", "a third is cut off as a group"])
+@pytest.mark.parametrize("entries, large", [(21, 6), (18, 0)])
+def test_cold_endpoints_get_calls_while_many_entries_are_lost(entries, large, fault):
+    # Guards against a zone that returns cold and serves nothing, as the entries that are left are
+    # no more than half, or wait to take over shares.
+    fleet = SimulatedFleet(entries=entries, large=large).run(FAULTS[fault])
+    assert fleet.sent_between(FAULT_MS, FAULT_MS + 6000.0) >= PER_S * 0.5
+
+
 def test_entries_of_a_small_fleet_without_contact_share_what_cold_endpoints_bear():
     # Guards against endpoints that get no calls while they are cold since half of two entries is
     # dead, and against more calls than they bear from entries that do not see each other.
@@ -153,7 +162,7 @@
 def test_entry_that_was_frozen_gets_its_share_back_only_after_the_takeover_time():
     # Guards against calls of an entry whose share another one has taken over meanwhile.
     shares = ColdShares("n0", ZONES, SLACK)
-    options = {"members": 20, "is_in_contact": True}
+    options = {"members": 20, "contact": Contact.MAJOR}
     for now_ms in range(0, 2001, 250):
         share = shares.update({"n0": "a", "n1": "b"}, now_ms=now_ms, **options)
     assert share.rate_per_s(PER_S, "a") == PER_S * 0.8
--- a/packages/cassiahaven-entry/cassiahaven_entry/routed_node.py
+++ b/packages/cassiahaven-entry/cassiahaven_entry/routed_node.py
@@ -9,7 +9,7 @@
 from eventlet.greenthread import GreenThread
 
 from cassiahaven_core.account import ClientAccount
-from cassiahaven_core.cold_start import ColdListings, ColdShare, ColdShares, has_contact
+from cassiahaven_core.cold_start import ColdListings, ColdShare, ColdShares, contact_of
 from cassiahaven_core.edge import CallResponse, StoreUnavailable, Topic
 from cassiahaven_core.endpoint_address import EndpointAddress
 from cassiahaven_core.fair_service import FairService
@@ -95,7 +95,12 @@
         self._live: set[str] = set()
         self._serving: dict[str, str] = {}
         self._cold_listings = ColdListings()
-        self._cold_shares = ColdShares(settings.name, settings.region_by_zone, settings.cold_slack)
+        self._cold_shares = ColdShares(
+            settings.name,
+            settings.region_by_zone,
+            settings.cold_slack,
+            overage=settings.cold_overage,
+        )
         self._cold_share = ColdShare({}, 0.0)
         self._serving_inputs: tuple[object, ...] = ()
         self._started_ms = now_ms()
@@ -601,7 +606,7 @@
         self._cold_share = self._cold_shares.update(
             self._serving,
             members=len(self.fleet.member_by_name),
-            is_in_contact=has_contact(self.fleet, now_ms()),
+            contact=contact_of(self.fleet, now_ms()),
             now_ms=now_ms(),
         )
         for task in self._task_by_service.values():
--- a/packages/cassiahaven-standins/cassiahaven_standins/cold_fleet.py
+++ b/packages/cassiahaven-standins/cassiahaven_standins/cold_fleet.py
@@ -4,7 +4,7 @@
 from collections.abc import Callable
 from itertools import count
 
-from cassiahaven_core.cold_start import ColdShare, ColdShares, has_contact
+from cassiahaven_core.cold_start import ColdShare, ColdShares, contact_of
 from cassiahaven_core.endpoint import CallResult
 from cassiahaven_core.endpoint_address import EndpointAddress
 from cassiahaven_core.membership import Fleet, Member
@@ -12,6 +12,7 @@
 
 PER_S = 2.5
 SLACK = 8
+OVERAGE = 1.5
 ZONES = ("a", "b", "c")
 ENDPOINTS = 40
 STEP_MS = 25.0
@@ -20,6 +21,7 @@
 FAULT_MS = 6000.0
 END_MS = 20_000.0
 SERVING_CORES = 0.8
+SILENT_MS = 2000.0  # an entry follows another watcher by then
 
 
 def make_address(
@@ -47,7 +49,7 @@
     def __init__(self, member: Member, members: list[Member]) -> None:
         self.fleet = Fleet(member)
         self.fleet.set_members(members)
-        self.shares = ColdShares(member.name, ZONES, SLACK)
+        self.shares = ColdShares(member.name, ZONES, SLACK, overage=OVERAGE)
         self.pool = cold_pool([f"e{n}" for n in range(ENDPOINTS)], share=ColdShare({}, 0.0))
 
     def compute_share(self, now_ms: float) -> None:
@@ -60,7 +62,7 @@
         share = self.shares.update(
             serving,
             members=len(self.fleet.member_by_name),
-            is_in_contact=has_contact(self.fleet, now_ms),
+            contact=contact_of(self.fleet, now_ms),
             now_ms=now_ms,
         )
         self.pool.set_cold_share(share, now_ms)
@@ -124,14 +126,25 @@
             entry.pool.finish(name, call, CallResult.OK, now_ms)
             self.sent_ms_by_endpoint[name].append(now_ms)
 
+    def _watchers(self, name: str, now_ms: float) -> list[Member]:
+        """Return the watchers that an entry follows instead of those that it cannot reach."""
+        silent = {
+            other
+            for other in self.frozen_until_ms
+            if FAULT_MS + SILENT_MS <= now_ms < self.frozen_until_ms[other]
+        }
+        cut_off = {other for other in self.entry_by_name if not self._reaches(name, other)}
+        return self.entry_by_name[name].fleet.watchers(frozenset(silent | cut_off))
+
     def _report(self, name: str, entry: SimulatedEntry, now_ms: float) -> None:
-        for watcher in entry.fleet.watchers():
+        for watcher in self._watchers(name, now_ms):
             if self._reaches(name, watcher.name) and watcher.name != name:
                 known = self.entry_by_name[watcher.name].fleet
                 known.record_report(name, is_draining=False, now_ms=now_ms)
         for other, follower in self.entry_by_name.items():
-            follows = any(item.name == name for item in follower.fleet.watchers())
-            if other != name and follows and self._reaches(name, other):
+            if other == name or not self._reaches(name, other):
+                continue
+            if any(item.name == name for item in self._watchers(other, now_ms)):
                 follower.fleet.record_watcher_report(
                     name,
                     live=entry.fleet.own_subscribers(now_ms),
@@ -171,6 +184,10 @@
     names = fleet.rng.sample(sorted(fleet.entry_by_name), int(len(fleet.members) * share))
     for name in names:
         fleet.down_until_ms[name] = FAULT_MS + fleet.rng.randrange(1000, 3500, 25)
+        for entry in fleet.entry_by_name.values():
+            # Connections to a process that is killed are closed at once.
+            entry.fleet.discard_report(name)
+            entry.fleet.discard_watcher_report(name)
 
 
 def partition_third(fleet: SimulatedFleet, *, is_group: bool) -> None:
@@ -180,6 +197,12 @@
             fleet.group_by_name[member.name] = "cut off" if is_group else member.name
 
 
+def split_by_zone(fleet: SimulatedFleet) -> None:
+    """Cut the zones off from each other, so that no group has more than half of the entries."""
+    for member in fleet.members:
+        fleet.group_by_name[member.name] = member.availability_zone
+
+
 def freeze_large(fleet: SimulatedFleet) -> None:
     """Freeze six entries, among them all large ones, for 4 to 5 s."""
     for number, member in enumerate(fleet.members[:6]):
@@ -199,6 +222,7 @@
     "16 % are killed": lambda fleet: kill(fleet, 0.16),
     "a third is cut off as a group": lambda fleet: partition_third(fleet, is_group=True),
     "a third is cut off one by one": lambda fleet: partition_third(fleet, is_group=False),
+    "the zones are cut off from each other": split_by_zone,
     "the large ones freeze": freeze_large,
     "the large ones restart": restart_large,
 }
