Pause longer after store answers in which endpoints only say that they are alive

Endpoints write the store all the time without a change, so each watch of them returned at once and the next began 100 ms later.

The next watch now begins 400 ms after an answer that changed no item. A change waits 0.3 s longer at most, of the 2.5 s it may take.

--- a/packages/cassiahaven-entry/cassiahaven_entry/fleet_view.py
+++ b/packages/cassiahaven-entry/cassiahaven_entry/fleet_view.py
@@ -179,22 +179,25 @@
             is_whole=state_update.is_whole,
         )
 
-    def apply_changes(self, topic: Topic, changes: FleetChanges) -> None:
-        """Apply changes read from the store."""
+    def apply_changes(self, topic: Topic, changes: FleetChanges) -> bool:
+        """Apply changes read from the store; return whether they changed any item."""
         if topic is Topic.CONFIGURATION:
+            known = self._routing.version
             for change in changes.changes:
                 if isinstance(change.item, GatewayConfig):
                     self._report_older_config(change.item, changes.version)
                     self._activate(change.item, FROM_STORE)
-            return
+            return self._routing.version != known
         state = self._state_by_topic[topic.value]
         items = {change.name: change.item for change in changes.changes}
         if changes.is_whole:
             items = dict.fromkeys(state.item_by_name) | items
         revision_by_name = {change.name: change.revision for change in changes.changes}
+        before = state.version
         version = state.version_of(items, revision_by_name, changes.version)
         self._apply(topic, items, version, FROM_STORE, is_whole=changes.is_whole)
         state.read_version = changes.version
+        return state.version != before
 
     def expire(self) -> None:
         """Drop endpoints that did not register again after a store outage."""
--- a/packages/cassiahaven-entry/cassiahaven_entry/store_feed.py
+++ b/packages/cassiahaven-entry/cassiahaven_entry/store_feed.py
@@ -28,6 +28,10 @@
 WATCH_WAIT_MS = 5000  # members are also known from their links, and tables have no time limit
 STORE_CHECK_INTERVAL_MS = 500.0  # with the 500 ms report interval below the age subscribers accept
 COALESCE_MS = 100.0  # coalesces bursts of changes; each return of a watch costs a store call
+# Endpoints write the store several times a second to say that they are alive. A change after such
+# a write waits this long, which leaves 2 s of its 2.5 s; the pause is shorter than the check
+# interval, so that it causes no checks.
+UNCHANGED_PAUSE_MS = 400.0
 IDLE_INTERVAL_MS = 100.0
 START_INTERVAL_MS = 10.0  # until the members are known, so that a start takes no longer
 ROUNDING_MS = 1.0  # timers may fire slightly early
@@ -43,7 +47,7 @@
     Args:
         store: The fleet's store.
         is_wanted: Returns whether this entry has to watch a topic.
-        on_changes: Called with the topic and the changes read.
+        on_changes: Called with the topic and the changes read; returns whether any item changed.
         contact: Records each request to the store and each response.
         is_starting: Returns whether it is not known yet which topics this entry watches.
         leads: Returns whether no other watcher tells this entry of changes that it misses.
@@ -54,7 +58,7 @@
         store: FleetStore,
         *,
         is_wanted: Callable[[Topic], bool],
-        on_changes: Callable[[Topic, FleetChanges], None],
+        on_changes: Callable[[Topic, FleetChanges], bool],
         contact: StoreOutageDetector,
         is_starting: Callable[[], bool] = lambda: False,
         leads: Callable[[], bool] = lambda: True,
@@ -114,9 +118,10 @@
                 continue
             version = changes.version
             self._report_findings(topic, changes.changes)
-            self._on_changes(topic, changes)
+            is_changed = self._on_changes(topic, changes)
             if not changes.is_whole:
-                eventlet.sleep(COALESCE_MS / MS_PER_S)
+                is_quiet = changes.changes and not is_changed
+                eventlet.sleep((UNCHANGED_PAUSE_MS if is_quiet else COALESCE_MS) / MS_PER_S)
 
     def check(self) -> None:
         """Check regularly that the store responds, until the process ends.
--- a/packages/cassiahaven-entry/tests/test_fleet_view.py
+++ b/packages/cassiahaven-entry/tests/test_fleet_view.py
@@ -163,6 +163,16 @@
     assert view.versions()[ENDPOINTS].revision == 6
 
 
+def test_changes_of_the_store_tell_whether_any_item_changed(make_view):
+    # Guards against a pause after a change, and against none after a sign of life.
+    view, _ = make_view("a1")
+    assert not view.apply_changes(Topic.ENDPOINTS, FleetChanges(5, [written("e1", 5)], False))
+    changed = [written("e1", 6, slots=5)]
+    assert view.apply_changes(Topic.ENDPOINTS, FleetChanges(6, changed, False))
+    assert view.apply_changes(Topic.CONFIGURATION, store_config(config(3, 1.0)))
+    assert not view.apply_changes(Topic.CONFIGURATION, store_config(config(3, 1.0)))
+
+
 def test_two_watchers_name_a_change_alike_however_their_watches_return(make_view):
     """Guards against requests for changes that another watcher has told already."""
     (first, _), (second, _) = make_view("a1"), make_view("b1")
--- a/packages/cassiahaven-entry/tests/test_store_feed.py
+++ b/packages/cassiahaven-entry/tests/test_store_feed.py
@@ -182,7 +182,7 @@
     feed = StoreFeed(
         store,
         is_wanted=lambda topic: True,
-        on_changes=lambda topic, changes: None,
+        on_changes=lambda topic, changes: False,
         contact=StoreOutageDetector(),
         leads=lambda: leads,
     )
@@ -200,6 +200,12 @@
     assert calls <= 195
 
 
+def test_signs_of_life_of_endpoints_cost_few_store_calls(clock):
+    # Guards against a store call for each 100 ms in which endpoints write without a change.
+    calls = calls_of(clock, Topic.ENDPOINTS, leads=True, has_signs_of_life=True)
+    assert calls <= WINDOW_S * 2.5
+
+
 def test_watches_restart_when_the_first_watcher_is_lost(feed):
     # Guards against a change whose answer is lost until the end of a long wait, as the watcher
     # that waits less has died at the same time.
