End the cold time of an endpoint when its registration says that it is warm

An entry counted the remaining cold time of a registration from the time it learned it. A peer may pass on a registration of which most time is over, since the time that passes is no change. The registration that said 0 afterwards did not end the cold time, so an entry that restarted took endpoints for cold for up to the whole cold time longer.

A registration without remaining cold time now ends what registrations told. What the endpoint said itself in an answer, and its age, still count. The new test failed before (the endpoint was cold 200 ms after it had been learned as cold and then as warm) and passes now.

--- a/packages/cassiahaven-core/cassiahaven_core/cold_start.py
+++ b/packages/cassiahaven-core/cassiahaven_core/cold_start.py
@@ -264,6 +264,9 @@
                 if item.cold_ms:
                     ends_ms = now_ms + item.cold_ms
                     listing.registered_ends_ms = max(listing.registered_ends_ms, ends_ms)
+                else:
+                    # A peer may have passed on a registration of which most time was over.
+                    listing.registered_ends_ms = min(listing.registered_ends_ms, now_ms)
             self._listing_by_start[start] = listing
 
     def ends_ms(self, item: Registration, cold_ms: float) -> float:
--- a/packages/cassiahaven-core/cassiahaven_core/pool.py
+++ b/packages/cassiahaven-core/cassiahaven_core/pool.py
@@ -137,10 +137,9 @@
             if known is not None and known.address.incarnation == address.incarnation:
                 if known.address.warm_up_ms != address.warm_up_ms:
                     known.warm_up_ends_ms = now_ms + address.warm_up_ms
-                is_cold_again = known.address.cold_ends_ms != address.cold_ends_ms
-                known.address = address
-                if is_cold_again:
-                    self._extend_cold(known, now_ms)
+                listed_ms, known.address = known.address.cold_ends_ms, address
+                if listed_ms != address.cold_ends_ms:
+                    self._change_cold(known, listed_ms, now_ms)
                 continue
             warm_up_ends_ms = now_ms + address.warm_up_ms
             self.endpoint_by_id[name] = Endpoint(
@@ -736,6 +735,16 @@
         zone = endpoint.address.availability_zone
         return self._cold_share.rate_per_s(self._cold_per_s, zone)
 
+    def _change_cold(self, endpoint: Endpoint, listed_ms: float, now_ms: float) -> None:
+        """Apply another cold time of the listing than ``listed_ms``."""
+        cold = endpoint.gate.cold
+        if cold is None or cold.ends_ms != listed_ms:
+            self._extend_cold(endpoint, now_ms)
+            return
+        # Only the listing told of it, so it may end earlier as well.
+        cold.ends_ms = endpoint.warm_up_ends_ms = max(now_ms, endpoint.address.cold_ends_ms)
+        self._end_cold(endpoint, now_ms)
+
     def _extend_cold(self, endpoint: Endpoint, now_ms: float) -> None:
         """Apply the cold time that the endpoint's listing tells."""
         ends_ms = endpoint.address.cold_ends_ms
--- a/packages/cassiahaven-core/tests/test_cold_start.py
+++ b/packages/cassiahaven-core/tests/test_cold_start.py
@@ -188,6 +188,30 @@
     assert listings.ends_ms(says, 4000.0) == 2600.0
 
 
+def test_registration_that_is_no_longer_cold_ends_the_cold_time():
+    # Guards against an entry that learned an old registration of a peer, and takes the endpoint for
+    # cold up to the whole cold time after it said that it is warm.
+    cold = Registration("e0", "s", "h", 1, "a", 3, False, 1_799_999_940_000, 3000.0)
+    warm = Registration("e0", "s", "h", 1, "a", 3, False, 1_799_999_940_000, 0.0)
+    listings, pool = ColdListings(), cold_pool([])
+    for item, now_ms in ((cold, 0.0), (warm, 200.0)):
+        listings.observe([item], now_ms, 1_800_000_000_000 + now_ms)
+        ends_ms = listings.ends_ms(item, 4000.0)
+        pool.set_endpoints([make_address("e0", cold_ends_ms=ends_ms)], now_ms)
+        assert pool.is_cold("e0") == (item is cold)
+    # What the endpoint itself said later counts, whatever its registration says.
+    listings.observe([cold], 300.0, 1_800_000_000_300)
+    pool.set_endpoints([make_address("e0", cold_ends_ms=listings.ends_ms(cold, 4000.0))], 300.0)
+    pool.record_cold("e0", "1", 1000.0, 400.0)
+    listings.observe([warm], 500.0, 1_800_000_000_500)
+    pool.set_endpoints([make_address("e0", cold_ends_ms=listings.ends_ms(warm, 4000.0))], 500.0)
+    assert pool.cold_left_ms_by_name(500.0) == {"e0": 900.0}
+    # A start that is young is cold, whatever its registration says.
+    young = Registration("e1", "s", "h", 1, "a", 3, False, 1_800_000_000_000)
+    listings.observe([young], 600.0, 1_800_000_000_600)
+    assert listings.ends_ms(young, 4000.0) == 4000.0
+
+
 @pytest.mark.parametrize(
     "text, value", [("1500", 1500.0), ("0", 0.0), ("", None), ("-1", None), ("1e3", None)]
 )
