--- a/packages/cassiahaven-core/tests/test_cold_start.py
+++ b/packages/cassiahaven-core/tests/test_cold_start.py
@@ -5,7 +5,7 @@
 import pytest
 
 from cassiahaven_core.admission import Admission, WaitingCall
-from cassiahaven_core.cold_start import ColdListings, ColdShare, ColdShares, parse_cold_ms
+from cassiahaven_core.cold_start import ColdListings, ColdShare, ColdShares, Contact, parse_cold_ms
 from cassiahaven_core.endpoint import CallResult
 from cassiahaven_core.lifecycle import EndpointEvent
 from cassiahaven_core.pool import Pool
@@ -43,6 +43,15 @@
     assert fleet.sent_between(15_000.0, END_MS) >= PER_S * 0.3
 
 
+@pytest.mark.parametrize("fault", ["55 % are killed", "a third is cut off as a group"])
+@pytest.mark.parametrize("entries, large", [(21, 6), (18, 0)])
+def test_cold_endpoints_get_calls_while_many_entries_are_lost(entries, large, fault):
+    # Guards against a zone that returns cold and serves nothing, as the entries that are left are
+    # no more than half, or wait to take over shares.
+    fleet = SimulatedFleet(entries=entries, large=large).run(FAULTS[fault])
+    assert fleet.sent_between(FAULT_MS, FAULT_MS + 6000.0) >= PER_S * 0.5
+
+
 def test_entries_of_a_small_fleet_without_contact_share_what_cold_endpoints_bear():
     # Guards against endpoints that get no calls while they are cold since half of two entries is
     # dead, and against more calls than they bear from entries that do not see each other.
@@ -153,7 +162,7 @@
 def test_entry_that_was_frozen_gets_its_share_back_only_after_the_takeover_time():
     # Guards against calls of an entry whose share another one has taken over meanwhile.
     shares = ColdShares("n0", ZONES, SLACK)
-    options = {"members": 20, "is_in_contact": True}
+    options = {"members": 20, "contact": Contact.MAJOR}
     for now_ms in range(0, 2001, 250):
         share = shares.update({"n0": "a", "n1": "b"}, now_ms=now_ms, **options)
     assert share.rate_per_s(PER_S, "a") == PER_S * 0.8
@@ -179,6 +188,30 @@
     assert listings.ends_ms(says, 4000.0) == 2600.0
 
 
+def test_registration_that_is_no_longer_cold_ends_the_cold_time():
+    # Guards against an entry that learned an old registration of a peer, and takes the endpoint for
+    # cold up to the whole cold time after it said that it is warm.
+    cold = Registration("e0", "s", "h", 1, "a", 3, False, 1_799_999_940_000, 3000.0)
+    warm = Registration("e0", "s", "h", 1, "a", 3, False, 1_799_999_940_000, 0.0)
+    listings, pool = ColdListings(), cold_pool([])
+    for item, now_ms in ((cold, 0.0), (warm, 200.0)):
+        listings.observe([item], now_ms, 1_800_000_000_000 + now_ms)
+        ends_ms = listings.ends_ms(item, 4000.0)
+        pool.set_endpoints([make_address("e0", cold_ends_ms=ends_ms)], now_ms)
+        assert pool.is_cold("e0") == (item is cold)
+    # What the endpoint itself said later counts, whatever its registration says.
+    listings.observe([cold], 300.0, 1_800_000_000_300)
+    pool.set_endpoints([make_address("e0", cold_ends_ms=listings.ends_ms(cold, 4000.0))], 300.0)
+    pool.record_cold("e0", "1", 1000.0, 400.0)
+    listings.observe([warm], 500.0, 1_800_000_000_500)
+    pool.set_endpoints([make_address("e0", cold_ends_ms=listings.ends_ms(warm, 4000.0))], 500.0)
+    assert pool.cold_left_ms_by_name(500.0) == {"e0": 900.0}
+    # A start that is young is cold, whatever its registration says.
+    young = Registration("e1", "s", "h", 1, "a", 3, False, 1_800_000_000_000)
+    listings.observe([young], 600.0, 1_800_000_000_600)
+    assert listings.ends_ms(young, 4000.0) == 4000.0
+
+
 @pytest.mark.parametrize(
     "text, value", [("1500", 1500.0), ("0", 0.0), ("", None), ("-1", None), ("1e3", None)]
 )
