--- a/packages/cassiahaven-core/cassiahaven_core/usage_cap.py
+++ b/packages/cassiahaven-core/cassiahaven_core/usage_cap.py
@@ -24,7 +24,7 @@
 NOTABLE_CHANGE = 1.25
 CONTACT_MS = 2000.0
 # Killed entries return after 1 to 3.5 s, and survivors of a kill of 55 % need few of them for a
-# majority: with 2 s, calls far below their caps were refused.
+# majority. In a shorter time they would lose their shares before the first ones return.
 MAJORITY_MS = 3000.0
 SILENT_MS = 800.0  # an entry with claims sends a message every 500 ms, forwarded within 100 ms
 FORGOTTEN_MS = 2500.0  # an account that a live process repeats no more is idle there
