Keep endpoints withdrawn that the soak withdraws while the store lacks them

An endpoint that was registered after the copy and withdrawn between the restore and the moment at which endpoints write again was registered once more, as its withdrawal changed nothing in the store.

The stand-in store notes all deletes since a restore, also of objects that it has lost.

Measured: the extended test fails before the change and passes after it (14 tests of test_zone_checks.py).

--- a/packages/cassiahaven-standins/cassiahaven_standins/platform_store.py
+++ b/packages/cassiahaven-standins/cassiahaven_standins/platform_store.py
@@ -41,6 +41,8 @@
         before_page: Called with the kind and the name after which a page starts, before the page
             is read.
         call_count: Requests so far, including refused ones.
+        deleted_since_restore: Kind and name of all deletes since the last restore, also of objects
+            that it lost.
         era: Number of restores, sent with every response; ``None`` to send none.
     """
 
@@ -58,6 +60,7 @@
         self.before_page: Callable[[str, str], None] = lambda kind, after: None
         self.refused_hosts: set[str] = set()
         self.call_count = 0
+        self.deleted_since_restore: set[tuple[str, str]] = set()
         self.era: int | None = None
 
     def copy(self) -> "StoreCopy":
@@ -77,6 +80,7 @@
         """
         with self.lock:
             lost = self._copy_locked()
+            self.deleted_since_restore = set()
             self.compacted_revision = copy.compacted_revision
             self.revision = copy.revision
             self.object_by_key = dict(copy.object_by_key)
@@ -109,6 +113,7 @@
     def delete(self, kind: str, name: str) -> None:
         """Remove an object."""
         with self.lock:
+            self.deleted_since_restore.add((kind, name))
             stored = self.object_by_key.pop((kind, name), None)
             if stored is not None:
                 self.revision += 1
--- a/packages/cassiahaven-standins/cassiahaven_standins/store_restores.py
+++ b/packages/cassiahaven-standins/cassiahaven_standins/store_restores.py
@@ -51,7 +51,7 @@
 
     def _write_again(self, copy: StoreCopy, lost: StoreCopy) -> None:
         """Write what operators and endpoints wrote, except what they have written since."""
-        written = self._state.changed_after(copy.revision)
+        written = self._state.changed_after(copy.revision) | self._state.deleted_since_restore
         for key in copy.object_by_key.keys() | lost.object_by_key.keys():
             kind, name = key
             if kind not in WRITTEN_AGAIN or key in written:
--- a/tests/test_zone_checks.py
+++ b/tests/test_zone_checks.py
@@ -56,9 +56,11 @@
     state.delete("servers", "removed")
     state.put("servers", "lost", {"n": 1})
     state.put("servers", "changed", {"n": 1})
+    state.put("servers", "withdrawn", {})
     state.put("leases", "lease", {})
     lost = state.restore(copy)
     state.put("servers", "changed", {"n": 2})
+    state.delete("servers", "withdrawn")  # the store has lost it, so this changes nothing
     restores._write_again(copy, lost)
     assert {key: item["spec"] for key, item in state.object_by_key.items()} == {
         ("servers", "lost"): {"n": 1},
