--- a/packages/cassiahaven-core/cassiahaven_core/pool.py
+++ b/packages/cassiahaven-core/cassiahaven_core/pool.py
@@ -24,7 +24,12 @@
     NOTICE_LIFETIME_MS,
     RateShare,
 )
-from cassiahaven_core.slot_limit import NEARLY_FULL_SHARE, AdaptiveSlotLimit
+from cassiahaven_core.slot_limit import (
+    NEARLY_FULL_SHARE,
+    RECOVERY_THRESHOLD,
+    SLOWDOWN_THRESHOLD,
+    AdaptiveSlotLimit,
+)
 from cassiahaven_core.zone_placement import (
     ANY_NEED,
     CallNeed,
@@ -76,6 +81,7 @@
         "leaving",
         "placement",
         "is_held_at_home",
+        "_avoids_full",
         "typical_latency_ms_by_partner",
         "_answers_by_partner",
         "_relaxed_latency_ms_by_partner",
@@ -105,6 +111,7 @@
         self._share = share
         self._rng = rng or Random()
         self.is_held_at_home = False
+        self._avoids_full = True
         self._left_zone: ZoneReason | None = None
         self._ejected: set[str] = set()
         self._call_trial_from_ms = float("-inf")
@@ -161,6 +168,17 @@
         self._index()
         return upheld
 
+    def set_contended(self, is_contended: bool) -> None:
+        """Set whether calls keep away from endpoints that the calls of other entries fill.
+
+        Where capacity is ample, waiting for reports of other entries' calls costs more than a short
+        queue at an endpoint.
+        """
+        self._avoids_full = is_contended
+        self._slot_limit.recovery_threshold = (
+            RECOVERY_THRESHOLD if is_contended else SLOWDOWN_THRESHOLD
+        )
+
     def set_share(self, share: SlotShare) -> None:
         """Set the part of each endpoint's slots that this entry fills."""
         if share != self._share:
@@ -301,7 +319,7 @@
         """
         endpoint = self.endpoint_by_id.get(name)
         started = endpoint.in_flight_by_call_id.get(call_id) if endpoint is not None else None
-        if started is None:
+        if started is None or not self._avoids_full:
             return False
         latency_ms = self.typical_latency_ms(started.partner)
         spare = 0 if idempotent else self._spare_slots(now_ms)
@@ -817,6 +835,8 @@
             spare: Slots to leave free if other entries send to the endpoint.
             counted: 1 if the call is counted at the endpoint already.
         """
+        if not self._avoids_full:
+            return False
         if not counted and now_ms < endpoint.gate.full_until_ms:
             return True
         if not counted and not spare and not endpoint.address.distance_ms:
@@ -856,7 +876,10 @@
         is_nearly_full = taken > endpoint.address.slots * NEARLY_FULL_SHARE
         # Skip the sample if the endpoint crossed the threshold while the call was running.
         if is_nearly_full == started.is_nearly_full:
-            self._learn_slot_limit(started.partner, took_ms, is_nearly_full=is_nearly_full)
+            if self._avoids_full:
+                self._learn_slot_limit(started.partner, took_ms, is_nearly_full=is_nearly_full)
+            else:
+                self._slot_limit.learn(ratio, is_nearly_full=is_nearly_full)
         slowness = endpoint.decayed_slowness(now_ms)
         smoothed = slowness + SLOWNESS_EWMA_ALPHA * (ratio - slowness)
         endpoint.slowness = max(MIN_SLOWNESS, smoothed)
--- a/packages/cassiahaven-core/cassiahaven_core/route.py
+++ b/packages/cassiahaven-core/cassiahaven_core/route.py
@@ -142,6 +142,14 @@
     rejected: tuple[RejectedRow, ...] = ()
     accounts: tuple[ClientAccount, ...] | None = None
 
+    @property
+    def expects_contention(self) -> bool:
+        """Return whether callers may compete for less capacity than they ask for.
+
+        Client accounts have quotas since they do, and uploads occupy endpoints and links for long.
+        """
+        return self.accounts is not None or any(route.is_upload for route in self.routes)
+
     def rules(self, service: str) -> dict[str, RouteRule]:
         """Return the active rules for the calls to a service, keyed by route name."""
         return {
--- a/packages/cassiahaven-core/cassiahaven_core/service.py
+++ b/packages/cassiahaven-core/cassiahaven_core/service.py
@@ -81,6 +81,7 @@
         "probes_per_s",
         "_promised_ms",
         "_returns",
+        "_is_contended",
     )
 
     def __init__(self, service: str, pool: Pool, admission: Admission) -> None:
@@ -91,6 +92,12 @@
         self.probes_per_s = 0.0
         self._promised_ms = 0.0
         self._returns = ReturnSchedule()
+        self._is_contended = True
+
+    def set_contended(self, is_contended: bool) -> None:
+        """Set whether callers compete for capacity, so that refused ones return on a schedule."""
+        self._is_contended = is_contended
+        self.pool.set_contended(is_contended)
 
     def submit(self, call: WaitingCall, now_ms: float) -> list[Effect]:
         """Admit or refuse a new call.
@@ -102,7 +109,9 @@
             return [Refuse(call.call_id, RefusalReason.DEADLINE_EXCEEDED)]
         latency_ms = self.pool.typical_latency_ms(call.latency_class)
         # One that came back when told waits until its deadline rather than be refused once more.
-        has_returned = bool(call.return_key) and self._returns.redeem(call, now_ms)
+        has_returned = (
+            self._is_contended and bool(call.return_key) and self._returns.redeem(call, now_ms)
+        )
         in_time_ms = call.deadline_ms if has_returned else call.target_at_ms
         call = replace(call, start_by_ms=in_time_ms - latency_ms, has_returned=has_returned)
         if not self._may_serve(call, now_ms):
@@ -363,7 +372,9 @@
     def _slots(self, latency_ms: float, now_ms: float) -> float:
         """Return how many calls of this entry run at a time."""
         slots = self.pool.usable_slots(latency_ms, now_ms)
-        return min(slots, self.pool.busy_slots()) if self.admission.waiting else slots
+        if not self._is_contended or not self.admission.waiting:
+            return slots
+        return min(slots, self.pool.busy_slots())
 
     def _returning_work_ms(self, call: WaitingCall, starts_ms: float, now_ms: float) -> float:
         """Return the delay of a call by callers that were told to come back before it starts."""
@@ -385,6 +396,8 @@
             return min(self.pool.opens_in_ms(now_ms), MAX_RETRY_AFTER_MS)
         if not 0 < rate_per_s < UNLIMITED:
             latency_ms = self.pool.typical_latency_ms(call.latency_class)
+            if not self._is_contended:
+                return wait_ms + latency_ms / 2
             slots = self._slots(latency_ms, now_ms)
             due_ms = self._returns.promise(
                 call,
--- a/packages/cassiahaven-core/cassiahaven_core/slot_limit.py
+++ b/packages/cassiahaven-core/cassiahaven_core/slot_limit.py
@@ -20,12 +20,19 @@
     fewer calls, and later, than leaving the last slots empty.
     """
 
-    __slots__ = ("_normal_ratio", "_nearly_full_ratio", "_calls", "_is_reduced")
+    __slots__ = (
+        "recovery_threshold",
+        "_normal_ratio",
+        "_nearly_full_ratio",
+        "_calls",
+        "_is_reduced",
+    )
 
     def __init__(self) -> None:
         self._normal_ratio = 1.0
         self._nearly_full_ratio = 1.0
         self._calls = 0
+        self.recovery_threshold = RECOVERY_THRESHOLD
         self._is_reduced = False
 
     @property
@@ -44,7 +51,7 @@
             self._nearly_full_ratio += DECAY_PER_CALL * (
                 self._normal_ratio - self._nearly_full_ratio
             )
-        threshold = RECOVERY_THRESHOLD if self._is_reduced else SLOWDOWN_THRESHOLD
+        threshold = self.recovery_threshold if self._is_reduced else SLOWDOWN_THRESHOLD
         self._is_reduced = self.factor >= threshold
 
     def limit(self, slots: int) -> int:
--- a/packages/cassiahaven-core/tests/test_full_endpoints.py
+++ b/packages/cassiahaven-core/tests/test_full_endpoints.py
@@ -102,3 +102,17 @@
     assert policy.pool.was_found_full("e0", "payment", 90.0, idempotent=False)
     assert not policy.pool.was_found_full("e0", "payment", 90.0, idempotent=True)
     assert not policy.pool.was_found_full("e0", "payment", 400.0, idempotent=False)
+
+
+def test_deployment_without_contention_uses_endpoints_as_before():
+    """Guards against calls that wait at the entry in deployments with ample capacity."""
+    pool = Pool()
+    address = EndpointAddress("e1", "1", "a", "h", 1, 3)
+    pool.set_endpoints([address], 0.0)
+    pool.report_load("e1", LoadReport(3, 2), 1.0)
+    endpoint = pool.choose(1.0, idempotent=True)
+    pool.start(endpoint, "c1", "r", 1.0)
+    pool.report_load("e1", LoadReport(3, 2), 2.0)
+    assert pool.was_found_full("e1", "c1", 2.0)
+    pool.set_contended(False)
+    assert not pool.was_found_full("e1", "c1", 2.0)
--- a/packages/cassiahaven-entry/cassiahaven_entry/routed_node.py
+++ b/packages/cassiahaven-entry/cassiahaven_entry/routed_node.py
@@ -278,6 +278,8 @@
             task.policy.probes_per_s = self.settings.probes_per_s * PROBE_SHARE
             task.set_cold_share(self._cold_share)
             task.set_evacuated(self.view.evacuated_zones)
+            if self.routing.config is not None:
+                task.policy.set_contended(self.routing.config.expects_contention)
             self._outdated_services.add(service)
             task.set_table(self.tables.table_by_service[service])
         return task
@@ -416,6 +418,7 @@
             task = self._get_or_create_task(spec.name)
             task.health_path = spec.health_path
             task.policy.pool.set_cold_limit(spec.cold_per_s, now_ms())
+            task.policy.set_contended(config.expects_contention)
             self._outdated_services.add(spec.name)  # the time after a start may have changed
         if not self._is_ready:
             # Callers are sent here only once the watchers know of the configuration.
