--- a/packages/cassiahaven-core/tests/test_full_endpoints.py
+++ b/packages/cassiahaven-core/tests/test_full_endpoints.py
@@ -6,6 +6,7 @@
 
 from benchmarks.scarcity import SCENARIOS, Replay
 from cassiahaven_core.endpoint import CallResult, LoadReport
+from cassiahaven_core.endpoint_address import EndpointAddress
 from cassiahaven_core.lifecycle import EndpointStatus
 from cassiahaven_core.pool import FULL_RECHECK_SHARE, Pool
 from cassiahaven_core.slot_limit import SLOWDOWN_THRESHOLD, AdaptiveSlotLimit
